The whole path, thin: settings in, calls through, evidence out

Cause: nothing existed; every later measurement needs the whole path on real processes.

Change: one binary with the node and the operators' client; settings in INI checked against a schema; versions merged by the greatest valid revision; readers, tree of long polls and digest repair; calls with ranks, retries, tokens and graceful stops; evidence down a tree; stand-ins of the platform and of a backend server; a demo of both example deployments.

--- /dev/null
+++ b/backend/gate.go
@@ -0,0 +1,113 @@
+package backend
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/admit"
+	"github.com/jaypitch/jaypitch/settings"
+)
+
+// gate shares an admission between calls.
+type gate struct {
+	now func() time.Time
+
+	mu        sync.Mutex
+	admission *admit.Admission
+}
+
+// slot is the right of one call to run; it is given back once.
+type slot struct {
+	gate    *gate
+	started time.Time
+	once    sync.Once
+}
+
+// enter waits for a slot until one is free, the deadline passes or the context ends.
+func (g *gate) enter(ctx context.Context, rank string, deadline time.Time) (*slot, *jaypitch.Error) {
+	t := &admit.Ticket{Rank: rank, Deadline: deadline, Granted: make(chan *jaypitch.Error, 1)}
+	g.mu.Lock()
+	run, refused := g.admission.Arrive(t, g.now())
+	g.mu.Unlock()
+	if refused != nil {
+		return nil, refused
+	}
+	if !run {
+		if refused := g.await(ctx, t); refused != nil {
+			return nil, refused
+		}
+	}
+	return &slot{gate: g, started: g.now()}, nil
+}
+
+// await waits for a grant.
+func (g *gate) await(ctx context.Context, t *admit.Ticket) *jaypitch.Error {
+	timer := time.NewTimer(t.Deadline.Sub(g.now()))
+	defer timer.Stop()
+	select {
+	case e := <-t.Granted:
+		return e
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	waiting := g.admission.Cancel(t)
+	g.mu.Unlock()
+	if waiting {
+		return jaypitch.Errorf(jaypitch.CodeDeadline, "the call waited for a slot until its deadline or its cancellation")
+	}
+	return <-t.Granted
+}
+
+// leave gives the slot back and starts waiting calls.
+func (s *slot) leave(o admit.Outcome) {
+	s.once.Do(func() {
+		g := s.gate
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		now := g.now()
+		g.admission.Finish(o, now.Sub(s.started), now)
+		g.grant(now)
+	})
+}
+
+// grant tells waiting calls that they may run or are too late.
+func (g *gate) grant(now time.Time) {
+	start, expired := g.admission.Next(now)
+	for _, t := range start {
+		t.Granted <- nil
+	}
+	for _, t := range expired {
+		t.Granted <- jaypitch.Errorf(jaypitch.CodeDeadline, "the call waited for a slot until its deadline")
+	}
+}
+
+// configure sets the ranks; calls of ranks that are gone are refused.
+func (g *gate) configure(ranks []*settings.Rank) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range g.admission.Configure(ranks) {
+		t.Granted <- jaypitch.Errorf(jaypitch.CodeRouteWithdrawn, "rank %q was withdrawn while the call waited", t.Rank)
+	}
+	g.grant(g.now())
+}
+
+func (g *gate) holdOff(rank string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.HoldOff(rank)
+}
+
+func (g *gate) load() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Load()
+}
+
+func (g *gate) counts() (inFlight, waiting, limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.InFlight(), g.admission.Waiting(), g.admission.Limit()
+}
--- /dev/null
+++ b/cmd/jaypitch/cmd_burn.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jaypitch/jaypitch/operator"
+)
+
+// burnCommand reports the service-level burn of the whole fleet.
+func burnCommand(o *options) *cobra.Command {
+	var page string
+	c := &cobra.Command{
+		Use:   "burn",
+		Short: "Report how fast each rank spends its budget of bad calls",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var b operator.Burn
+			fmt.Fprintf(c.ErrOrStderr(), "asking every listed host, at most %s\n", o.timeout)
+			if err := askInto(c.Context(), o, http.MethodGet, "/burn", url.Values{"timeout": {o.timeout.String()}}, &b); err != nil {
+				return err
+			}
+			if page != "" {
+				if err := writeBurnPage(page, &b); err != nil {
+					return err
+				}
+			}
+			if o.output == outputJSON {
+				return printJSON(c.OutOrStdout(), b)
+			}
+			return printBurn(c.OutOrStdout(), &b)
+		},
+	}
+	c.Flags().StringVar(&page, "html", "", "also write a page with plots to this file")
+	return c
+}
+
+func printBurn(w io.Writer, b *operator.Burn) error {
+	t := newTable(w, "SERVICE", "RANK", "WINDOW", "GOOD", "BAD", "OBJECTIVE", "BURN RATE", "BUDGET LEFT")
+	for _, c := range b.Counts {
+		t.row(c.Service, c.Rank, milliseconds(c.WindowUS/1000), c.Good, c.Bad, fmt.Sprintf("%.1f%%", float64(c.ObjectivePermille)/10),
+			fmt.Sprintf("%.2f", c.Rate), fmt.Sprintf("%.0f%%", 100*c.BudgetLeft))
+	}
+	if err := t.flush(); err != nil {
+		return err
+	}
+	if len(b.Silent) > 0 {
+		fmt.Fprintf(w, "\n%d of %d hosts gave no answer: %s\n", len(b.Silent), b.Asked, strings.Join(b.Silent, ", "))
+	}
+	return nil
+}
+
+func writeBurnPage(file string, b *operator.Burn) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return fmt.Errorf("writing %q: %w", file, err)
+	}
+	defer f.Close()
+	return operator.WriteBurnPage(f, b)
+}
--- /dev/null
+++ b/cmd/jaypitch/cmd_node.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/node"
+	"github.com/jaypitch/jaypitch/settings"
+)
+
+// nodeCommand runs the daemon.
+func nodeCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "node --settings FILE",
+		Short: "Run the node beside a backend server",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			text, err := readFile(file)
+			if err != nil {
+				return err
+			}
+			s, problems := settings.ParseNode(file, text)
+			if len(problems) > 0 {
+				return problems
+			}
+			log, err := newLogger(s.GetLog().GetLevel())
+			if err != nil {
+				return err
+			}
+			return node.New(s, log).Run(c.Context())
+		},
+	}
+	c.Flags().StringVar(&file, "settings", "", "settings file of the node")
+	_ = c.MarkFlagRequired("settings")
+	return c
+}
+
+// newLogger writes structured lines to standard error.
+func newLogger(level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, jaypitch.Errorf(jaypitch.CodeNotAllowed, "log level %q: %s", level, err)
+	}
+	c := zap.NewProductionConfig()
+	c.Level = zap.NewAtomicLevelAt(l)
+	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return c.Build()
+}
+
+func readFile(file string) ([]byte, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, jaypitch.Errorf(jaypitch.CodeUnreadable, "file %q: %s", file, err)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/cmd/jaypitch/cmd_status.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jaypitch/jaypitch/operator"
+)
+
+// statusCommand shows what is in force at a node.
+func statusCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show what is in force at a node, and what was refused and why",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var s operator.Status
+			if err := askInto(c.Context(), o, http.MethodGet, "/status", nil, &s); err != nil {
+				return err
+			}
+			if o.output == outputJSON {
+				return printJSON(c.OutOrStdout(), s)
+			}
+			return printStatus(c.OutOrStdout(), &s)
+		},
+	}
+}
+
+func printStatus(w io.Writer, s *operator.Status) error {
+	fmt.Fprintf(w, "host %s, data centre %s, service %s, process %s, up %s\n", s.Host, s.DataCentre, s.Service, s.Process, age(s.StartedAt))
+	fmt.Fprintf(w, "confirmed %t, ready %t, listed %t, stopping %s\n", s.Confirmed, s.Ready, s.Listed, orDash(strings.Join(s.Stopping, ",")))
+	fmt.Fprintf(w, "position %d, parents %s, children %d, suspects %s, ejected %s\n", s.Position, orDash(strings.Join(s.Parents, ",")), s.Children,
+		orDash(strings.Join(s.Suspects, ",")), orDash(strings.Join(s.Ejected, ",")))
+	fmt.Fprintf(w, "source answered %s ago; this node reads it: %t, revision %d, failing %t, behind %t %s\n", milliseconds(s.SourceAgeMS), s.Source.Reads,
+		s.Source.Revision, s.Source.Failing, s.Source.Behind, s.Source.Error)
+	fmt.Fprintf(w, "calls running %d of %d, waiting %d, answers kept %d, retries %d\n", s.CallsRunning, s.Slots, s.CallsWaiting, s.KeptAnswers, s.Retries)
+	fmt.Fprintf(w, "hosts listed %d, control bytes sent %d, received %d\n\n", s.Hosts, s.ControlSent, s.ControlGot)
+	t := newTable(w, "DOCUMENT", "REVISION", "DIGEST", "IN FORCE FOR", "STATE")
+	for _, d := range s.Documents {
+		t.row(d.Key, d.Revision, d.Digest, age(d.Since), stateOf(&d))
+	}
+	if err := t.flush(); err != nil {
+		return err
+	}
+	for _, d := range s.Documents {
+		if d.RefusedRevision > 0 {
+			fmt.Fprintf(w, "\n%s revision %d was refused:\n  %s\n", d.Key, d.RefusedRevision, strings.ReplaceAll(d.RefusedReason, "\n", "\n  "))
+		}
+	}
+	return nil
+}
+
+func stateOf(d *operator.Document) string {
+	switch {
+	case d.RefusedRevision > 0:
+		return fmt.Sprintf("revision %d refused, code %d", d.RefusedRevision, d.RefusedCode)
+	case d.Conflict:
+		return "accepted; seen with two contents"
+	case d.Deleted:
+		return "deleted"
+	}
+	return "accepted"
+}
--- /dev/null
+++ b/ini/problem.go
@@ -0,0 +1,43 @@
+package ini
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/jaypitch/jaypitch"
+)
+
+// Problem is one fault in a settings text.
+type Problem struct {
+	Code    jaypitch.Code `json:"code"`
+	File    string        `json:"file"`
+	Section string        `json:"section"`
+	Key     string        `json:"key"`
+	Reason  string        `json:"reason"`
+}
+
+// Problems is every fault of one text; it is an error if it isn't empty.
+type Problems []Problem
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d %s: file %q", p.Code, p.Code.Info().Name, p.File)
+	if p.Section != "" {
+		fmt.Fprintf(&b, " section %q", p.Section)
+	}
+	if p.Key != "" {
+		fmt.Fprintf(&b, " key %q", p.Key)
+	}
+	fmt.Fprintf(&b, ": %s", p.Reason)
+	return b.String()
+}
+
+// Error returns the problems, one on each line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, q := range p {
+		lines[i] = q.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/node/local.go
@@ -0,0 +1,226 @@
+package node
+
+import (
+	"context"
+	"encoding/binary"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/jaypitch/jaypitch/burn"
+	"github.com/jaypitch/jaypitch/evidence"
+	"github.com/jaypitch/jaypitch/schema"
+	"github.com/jaypitch/jaypitch/settings"
+)
+
+// callerGate is the gate of callers.
+type callerGate struct{ node *Node }
+
+// AwaitReady waits a bounded time until the node may take work.
+func (n *Node) AwaitReady(ctx context.Context) bool {
+	return n.trust.await(ctx)
+}
+
+// Enter counts work for the backend server; it returns false if no new work is taken.
+func (n *Node) Enter() bool {
+	return n.lifecycle.enterBackend()
+}
+
+// Leave ends what Enter counted.
+func (n *Node) Leave() {
+	n.lifecycle.leaveBackend()
+}
+
+// Stopping says whether the backend server takes no new work.
+func (n *Node) Stopping() bool {
+	return n.lifecycle.backendStopping()
+}
+
+// Drained notes that the backend server says that it is leaving.
+func (n *Node) Drained() {
+	n.lifecycle.set(StopBackend, true)
+}
+
+// CatchUp brings this node up to a team's revision from the sender, within a bounded time.
+func (n *Node) CatchUp(ctx context.Context, sender, team string, revision int64) {
+	h := n.store.Table().Hosts[sender]
+	if h == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpWait)
+	defer cancel()
+	if err := n.poller.Ask(ctx, h.Address); err != nil {
+		n.log.Debug("catch up", zap.String("sender", sender), zap.String("team", team), zap.Int64("revision", revision), zap.Error(err))
+	}
+	n.apply()
+}
+
+// asker asks a host that is ahead.
+type asker struct {
+	node    *Node
+	address string
+}
+
+// askAhead asks a host that turned out to hold newer settings.
+func (n *Node) askAhead(host string) {
+	if h := n.store.Table().Hosts[host]; h != nil {
+		a := &asker{n, h.Address}
+		go a.run()
+	}
+}
+
+func (a *asker) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), askBehindWait)
+	defer cancel()
+	_ = a.node.poller.Ask(ctx, a.address)
+}
+
+// AwaitReady waits a bounded time until the node may take work.
+func (g *callerGate) AwaitReady(ctx context.Context) bool {
+	return g.node.trust.await(ctx)
+}
+
+// Enter counts a call; it returns false if the node is ending.
+func (g *callerGate) Enter() bool {
+	return g.node.lifecycle.enterCaller()
+}
+
+// Leave ends what Enter counted.
+func (g *callerGate) Leave() {
+	g.node.lifecycle.leaveCaller()
+}
+
+// Sender identifies this process and says how far its state may be trusted.
+func (n *Node) Sender() *schema.Sender {
+	return &schema.Sender{Host: n.settings.GetNode().GetHost(), Process: n.process, Confirmed: n.trust.confirmed(),
+		StateDigest: n.store.Digest(), SourceAgeUs: micro(n.trust.sourceAge()), Draining: n.lifecycle.backendStopping()}
+}
+
+// Heard notes that another node asked.
+func (n *Node) Heard(s *schema.Sender) {
+	n.heardMu.Lock()
+	defer n.heardMu.Unlock()
+	n.heard[s.GetHost()] = heard{until: n.now().Add(heardLasts)}
+}
+
+// Unlisted returns hosts that asked this node lately and are absent from the host list.
+func (n *Node) Unlisted() []*schema.Target {
+	t := n.store.Table()
+	n.heardMu.Lock()
+	defer n.heardMu.Unlock()
+	var out []*schema.Target
+	for host, h := range n.heard {
+		if n.now().After(h.until) {
+			delete(n.heard, host)
+		} else if t.Hosts[host] == nil && host != "" {
+			out = append(out, &schema.Target{Host: host})
+		}
+	}
+	return out
+}
+
+// BurnCounts returns the service-level counts of this host.
+func (n *Node) BurnCounts() []burn.Count {
+	n.burnMu.Lock()
+	defer n.burnMu.Unlock()
+	return n.burn.Counts(n.now())
+}
+
+// Find answers what this host knows of a subject. The table is looked at before the calls in progress
+// are counted, so that a call that isn't counted can only have seen this table or a newer one.
+func (n *Node) Find(s *schema.Subject) evidence.Finding {
+	t := n.store.Table()
+	f := evidence.Finding{Host: n.settings.GetNode().GetHost(), Confirmed: n.trust.confirmed(), LastCallUS: -1}
+	since := n.started
+	if s.GetTeam() != "" {
+		if tt := t.Teams[s.GetTeam()]; tt != nil {
+			f.Revision, f.Digest = tt.Revision, tt.Digest[:]
+			since = n.store.InForceSince(s.GetTeam())
+		}
+	} else {
+		f.Digest = digestOfTeams(t)
+	}
+	f.HeldUS = micro(n.now().Sub(since))
+	f.Enforced = enforced(t, s)
+	if s.GetBackend() == "" && s.GetRevision() == 0 {
+		inFlight, lastAt := n.tracker.Count(s)
+		if !f.Enforced {
+			f.InFlight = inFlight
+		}
+		if !lastAt.IsZero() {
+			f.LastCallUS = micro(n.now().Sub(lastAt))
+		}
+	}
+	if s.GetBackend() == f.Host && !f.Enforced {
+		backend, _ := n.lifecycle.inProgress()
+		f.InFlight = int64(backend)
+	}
+	return f
+}
+
+// enforced says whether a table serves the subject.
+func enforced(t *settings.Table, s *schema.Subject) bool {
+	if s.GetBackend() != "" {
+		h := t.Hosts[s.GetBackend()]
+		return h != nil && !h.Leaving
+	}
+	if s.GetRevision() != 0 {
+		tt := t.Teams[s.GetTeam()]
+		return tt != nil && tt.Revision < s.GetRevision()
+	}
+	for name, tt := range t.Teams {
+		if (s.GetTeam() == "" || s.GetTeam() == name) && teamServes(tt, s) {
+			return true
+		}
+	}
+	return false
+}
+
+func teamServes(tt *settings.TeamTable, s *schema.Subject) bool {
+	for name, r := range tt.Routes {
+		if s.GetRoute() != "" && s.GetRoute() != name {
+			continue
+		}
+		if s.GetCustomer() == "" || r.Customers[s.GetCustomer()] {
+			return true
+		}
+	}
+	return false
+}
+
+// digestOfTeams identifies the versions of all teams in a table.
+func digestOfTeams(t *settings.Table) []byte {
+	var sum uint64
+	for name, tt := range t.Teams {
+		sum ^= xxhash.Sum64String(name + "/" + tt.Digest.String() + "/" + strconv.FormatInt(tt.Revision, 10))
+	}
+	return binary.BigEndian.AppendUint64(nil, sum)
+}
+
+// onPeer notes that all that a peer holds was merged.
+func (n *Node) onPeer(s *schema.Sender, askedAt time.Time) {
+	n.apply()
+	n.trust.peer(s.GetHost(), s.GetConfirmed(), micros(s.GetSourceAgeUs()), n.topology.Load().Others(), askedAt)
+}
+
+// onSource notes that all that a collection of the source holds was merged.
+func (n *Node) onSource(collection int, askedAt time.Time) {
+	n.apply()
+	other := n.readers[1-collection].Status().AskedAt
+	if other.IsZero() {
+		return
+	}
+	if other.Before(askedAt) {
+		askedAt = other
+	}
+	n.trust.source(n.topology.Load().Others(), askedAt)
+}
+
+func micro(d time.Duration) int64 {
+	if d < 0 {
+		return -1
+	}
+	return d.Microseconds()
+}
--- /dev/null
+++ b/node/operator.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/burn"
+	"github.com/jaypitch/jaypitch/evidence"
+	"github.com/jaypitch/jaypitch/operator"
+	"github.com/jaypitch/jaypitch/schema"
+	"github.com/jaypitch/jaypitch/settings"
+)
+
+// Status returns what this node tells about itself.
+func (n *Node) Status() operator.Status {
+	topology := n.topology.Load()
+	s := operator.Status{
+		Host: n.settings.GetNode().GetHost(), DataCentre: n.settings.GetNode().GetDataCentre(), Service: n.settings.GetNode().GetService(),
+		Process: fmt.Sprintf("%016x", n.process), StartedAt: n.started, Confirmed: n.trust.confirmed(), Ready: n.trust.ready(),
+		Listed: topology.Listed, SourceAgeMS: milli(n.trust.sourceAge()), Source: n.readers[0].Status(), HostList: n.readers[1].Status(),
+		Position: topology.Position, Parents: n.poller.Parents(), Children: n.peers.Waiting(), Suspects: n.poller.Suspects(),
+		Ejected: n.dispatcher.Ejected(), KeptAnswers: n.receiver.Kept(), Retries: n.dispatcher.Retries(), Hosts: len(n.store.Table().Hosts),
+		ControlSent: n.traffic.Sent.Load(), ControlGot: n.traffic.Received.Load(),
+	}
+	s.CallsRunning, s.CallsWaiting, s.Slots = n.receiver.Counts()
+	backend, callers := n.lifecycle.inProgress()
+	s.InProgress = backend + callers
+	for _, r := range n.lifecycle.stopReasons() {
+		s.Stopping = append(s.Stopping, string(r))
+	}
+	for _, e := range n.store.Entries() {
+		s.Documents = append(s.Documents, documentStatus(e))
+	}
+	return s
+}
+
+// Routes returns the declared routes of the table in force, in order.
+func (n *Node) Routes() []operator.Route {
+	t := n.store.Table()
+	out := []operator.Route{}
+	for _, team := range slices.Sorted(maps.Keys(t.Teams)) {
+		tt := t.Teams[team]
+		for _, name := range slices.Sorted(maps.Keys(tt.Routes)) {
+			r := tt.Routes[name]
+			out = append(out, operator.Route{Team: team, Route: name, Service: r.Service.Name, Rank: r.Rank.Name, Idempotent: r.Idempotent,
+				Customers: slices.Sorted(maps.Keys(r.Customers)), Hosts: len(r.Service.Hosts)})
+		}
+		for _, name := range slices.Sorted(maps.Keys(tt.Withdrawn)) {
+			out = append(out, operator.Route{Team: team, Route: name, Customers: []string{}, Withdrawn: tt.Withdrawn[name].Error()})
+		}
+	}
+	return out
+}
+
+// Text returns the accepted text of a team's subtree.
+func (n *Node) Text(team string) ([]byte, bool) {
+	e, ok := n.store.Entry(jaypitch.TeamPrefix + team)
+	if !ok || e.Document.Deleted || e.Document.Revision == 0 {
+		return nil, false
+	}
+	return e.Document.Text, true
+}
+
+// Evidence gathers fresh answers of every listed host until the deadline.
+func (n *Node) Evidence(ctx context.Context, s *schema.Subject, deadline time.Time) *evidence.Report {
+	started := n.now()
+	targets := targetsOf(n.store.Table())
+	r := n.peers.GatherEvidence(ctx, &schema.EvidenceRequest{Subject: s, Targets: targets, TimeLeftUs: deadline.Sub(started).Microseconds()})
+	report := evidence.Judge(s, targets, r)
+	report.Lists = n.lists()
+	report.TookMS = float64(n.now().Sub(started).Microseconds()) / 1000
+	return report
+}
+
+// Burn gathers the service-level counts of every listed host.
+func (n *Node) Burn(ctx context.Context, deadline time.Time) operator.Burn {
+	targets := targetsOf(n.store.Table())
+	r := n.peers.GatherBurn(ctx, &schema.BurnRequest{Targets: targets, TimeLeftUs: deadline.Sub(n.now()).Microseconds()})
+	out := operator.Burn{Asked: len(targets), Silent: r.GetSilent(), Counts: []operator.BurnCount{}}
+	for _, m := range r.GetCounts() {
+		c := burn.Count{Service: m.GetService(), Rank: m.GetRank(), WindowUS: m.GetWindowUs(), Good: m.GetGood(), Bad: m.GetBad(),
+			ObjectivePermille: m.GetObjectivePermille()}
+		out.Counts = append(out.Counts, operator.BurnCount{Count: c, Rate: c.Rate(), BudgetLeft: c.BudgetLeft()})
+	}
+	return out
+}
+
+// Drain stops the work for the backend server of this host, or takes it up again.
+func (n *Node) Drain(drain bool) {
+	n.lifecycle.set(StopOperator, drain)
+}
+
+// lists says which host lists this node judges by.
+func (n *Node) lists() []evidence.List {
+	var out []evidence.List
+	for _, e := range n.store.Entries() {
+		if dc := jaypitch.DataCentre(e.Document.Key); dc != "" && e.Document.Revision > 0 {
+			out = append(out, evidence.List{DataCentre: dc, Revision: e.Document.Revision, HeldMS: milli(n.now().Sub(e.Since)), SourceAgeMS: milli(n.trust.sourceAge())})
+		}
+	}
+	return out
+}
+
+func targetsOf(t *settings.Table) []*schema.Target {
+	var out []*schema.Target
+	for _, name := range t.HostNames() {
+		out = append(out, &schema.Target{Host: name, Address: t.Hosts[name].Address})
+	}
+	return out
+}
+
+func documentStatus(e settings.Entry) operator.Document {
+	d := operator.Document{Key: e.Document.Key, Revision: e.Document.Revision, Digest: e.Document.Digest.String(), Deleted: e.Document.Deleted,
+		Since: e.Since, Conflict: e.Conflict}
+	if e.Refused != nil {
+		d.RefusedRevision, d.RefusedCode, d.RefusedReason = e.Refused.Revision, e.Refused.Code, e.Refused.Reason
+	}
+	return d
+}
+
+func milli(d time.Duration) int64 {
+	if d < 0 {
+		return -1
+	}
+	return d.Milliseconds()
+}
--- /dev/null
+++ b/scenario/fleet.go
@@ -0,0 +1,436 @@
+// Package scenario runs fleets of real processes on loopback addresses for the demo, the benchmarks
+// and the scenario tests. It ends only what it started.
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/jaypitch/jaypitch/operator"
+	"github.com/jaypitch/jaypitch/standin"
+)
+
+// Binaries are the programs that a fleet runs.
+type Binaries struct {
+	Jaypitch string
+	Standin  string
+}
+
+// Host is one host of a fleet: a node and, unless it is shared, a backend server.
+type Host struct {
+	Name       string
+	DataCentre string
+	Service    string
+	IP         string
+	Leaving    bool
+	Slots      int
+	// Connections is what the backend server allows.
+	Connections int
+	// Backend is the address of the backend server.
+	Backend string
+
+	node   *Process
+	server *Process
+	fleet  *Fleet
+}
+
+// Fleet is a platform with hosts.
+type Fleet struct {
+	Platform string
+	Hosts    []*Host
+
+	dir      string
+	binaries Binaries
+	prefix   string
+	options  NodeOptions
+	started  []*Process
+	mu       sync.Mutex
+}
+
+// NodeOptions are settings that all nodes of a fleet share.
+type NodeOptions struct {
+	PollWait string
+	Repair   string
+	Fanout   int
+	Readers  int
+	// SharedBackend runs one backend server for the whole fleet.
+	SharedBackend bool
+	// EveryNodeReads makes every node a reader of the source, as a baseline.
+	EveryNodeReads bool
+}
+
+// Process is a started program.
+type Process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+	log  string
+}
+
+var (
+	fleets atomic.Int64
+	client = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}
+)
+
+const (
+	callerPort   = 7001
+	peerPort     = 7002
+	operatorPort = 7003
+	backendPort  = 7100
+	platformPort = 7000
+	// firstNet is the second number of the first fleet's loopback addresses.
+	firstNet    = 16
+	netCount    = 200
+	hostsPerNet = 250
+	pollPause   = 20 * time.Millisecond
+)
+
+// NewFleet starts a platform for a fleet whose files are kept in dir.
+func NewFleet(dir string, b Binaries, o NodeOptions) (*Fleet, error) {
+	net := firstNet + (int64(os.Getpid())+fleets.Add(1)*37)%netCount
+	f := &Fleet{dir: dir, binaries: b, options: o, prefix: fmt.Sprintf("127.%d", net)}
+	f.Platform = fmt.Sprintf("%s.255.1:%d", f.prefix, platformPort)
+	if _, err := f.start("platform", b.Standin, "platform", "--address", f.Platform); err != nil {
+		return nil, err
+	}
+	if o.SharedBackend {
+		if _, err := f.start("server", b.Standin, "server", "--address", f.sharedBackend(), "--connections", "60000", "--slots", "4096"); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.await(10*time.Second, "the platform", func() bool {
+		_, err := f.Counts()
+		return err == nil
+	})
+}
+
+// Add places a host in the fleet without starting anything.
+func (f *Fleet) Add(name, dataCentre, service string, slots, connections int) *Host {
+	n := len(f.Hosts)
+	h := &Host{Name: name, DataCentre: dataCentre, Service: service, Slots: slots, Connections: connections, fleet: f,
+		IP: fmt.Sprintf("%s.%d.%d", f.prefix, 1+n/hostsPerNet, 1+n%hostsPerNet)}
+	h.Backend = fmt.Sprintf("%s:%d", h.IP, backendPort)
+	if f.options.SharedBackend {
+		h.Backend = f.sharedBackend()
+	}
+	f.Hosts = append(f.Hosts, h)
+	return h
+}
+
+// PublishHosts writes the host list of every data centre.
+func (f *Fleet) PublishHosts() error {
+	lists := map[string]*bytes.Buffer{}
+	for _, h := range f.Hosts {
+		b := lists[h.DataCentre]
+		if b == nil {
+			b = &bytes.Buffer{}
+			lists[h.DataCentre] = b
+		}
+		state := "live"
+		if h.Leaving {
+			state = "leaving"
+		}
+		fmt.Fprintf(b, "[host %s]\nservice = %s\naddress = %s:%d\nstate = %s\n\n", h.Name, h.Service, h.IP, peerPort, state)
+	}
+	for dc, b := range lists {
+		if err := f.put("hosts", dc, b.Bytes()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// PublishTeam writes a team's subtree.
+func (f *Fleet) PublishTeam(team string, text []byte) error {
+	return f.put("teams", team, text)
+}
+
+// StartAll starts every host.
+func (f *Fleet) StartAll() error {
+	for _, h := range f.Hosts {
+		if err := h.StartServer(); err != nil {
+			return err
+		}
+		if err := h.StartNode(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitAll waits until every node's status passes a check.
+func (f *Fleet) AwaitAll(limit time.Duration, what string, check func(s *operator.Status) bool) error {
+	for _, h := range f.Hosts {
+		err := f.await(limit, what+" at "+h.Name, func() bool {
+			s, err := h.Status()
+			return err == nil && check(s)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitReady waits until every node is ready, confirmed and holds the keys.
+func (f *Fleet) AwaitReady(limit time.Duration, keys ...string) error {
+	return f.AwaitAll(limit, "readiness", func(s *operator.Status) bool {
+		held := map[string]bool{}
+		for _, d := range s.Documents {
+			held[d.Key] = d.Revision > 0
+		}
+		for _, k := range keys {
+			if !held[k] {
+				return false
+			}
+		}
+		return s.Ready && s.Confirmed && s.Listed
+	})
+}
+
+// Counts returns what the platform counted.
+func (f *Fleet) Counts() (standin.Counts, error) {
+	var c standin.Counts
+	return c, getJSON("http://"+f.Platform+"/admin/counts", &c)
+}
+
+// SetFault makes the platform fail.
+func (f *Fleet) SetFault(fault standin.Fault) error {
+	return postJSON("http://"+f.Platform+"/admin/fault", fault)
+}
+
+// Close ends everything that the fleet started.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.started {
+		p.Kill()
+	}
+}
+
+// StartServer starts the backend server of a host, unless one is shared.
+func (h *Host) StartServer() error {
+	if h.fleet.options.SharedBackend {
+		return nil
+	}
+	p, err := h.fleet.start("server-"+h.Name, h.fleet.binaries.Standin, "server", "--address", h.Backend, "--name", h.Name,
+		"--slots", fmt.Sprint(h.Slots), "--connections", fmt.Sprint(h.Connections+2))
+	h.server = p
+	return err
+}
+
+// StartNode starts the node of a host.
+func (h *Host) StartNode() error {
+	file := filepath.Join(h.fleet.dir, h.Name+".ini")
+	if err := os.WriteFile(file, []byte(h.settings()), 0o600); err != nil {
+		return fmt.Errorf("writing the settings of %q: %w", h.Name, err)
+	}
+	p, err := h.fleet.start("node-"+h.Name, h.fleet.binaries.Jaypitch, "node", "--settings", file)
+	h.node = p
+	return err
+}
+
+// Node returns the process of the host's node.
+func (h *Host) Node() *Process {
+	return h.node
+}
+
+// Server returns the process of the host's backend server.
+func (h *Host) Server() *Process {
+	return h.server
+}
+
+// Caller returns the address for callers.
+func (h *Host) Caller() string {
+	return fmt.Sprintf("%s:%d", h.IP, callerPort)
+}
+
+// Operator returns the address for operators.
+func (h *Host) Operator() string {
+	return fmt.Sprintf("%s:%d", h.IP, operatorPort)
+}
+
+// Status asks the node for its status.
+func (h *Host) Status() (*operator.Status, error) {
+	s := &operator.Status{}
+	return s, getJSON("http://"+h.Operator()+"/status", s)
+}
+
+// ServerCounts asks the backend server for what it counted.
+func (h *Host) ServerCounts() (standin.ServerCounts, error) {
+	var c standin.ServerCounts
+	return c, getJSON("http://"+h.Backend+"/admin/counts", &c)
+}
+
+// SetServer changes how the backend server behaves.
+func (h *Host) SetServer(s standin.ServerSettings) error {
+	return postJSON("http://"+h.Backend+"/admin/settings", s)
+}
+
+func (h *Host) settings() string {
+	o := h.fleet.options
+	peer := ""
+	for _, kv := range [][2]string{{"poll", o.PollWait}, {"repair", o.Repair}} {
+		if kv[1] != "" {
+			peer += fmt.Sprintf("%s = %s\n", kv[0], kv[1])
+		}
+	}
+	if o.Fanout > 0 {
+		peer += fmt.Sprintf("fanout = %d\n", o.Fanout)
+	}
+	if o.Readers > 0 {
+		peer += fmt.Sprintf("readers = %d\n", o.Readers)
+	}
+	return fmt.Sprintf(`[node]
+host = %s
+data_centre = %s
+service = %s
+
+[caller]
+address = %s
+
+[peer]
+address = %s:%d
+%s
+[operator]
+address = %s
+
+[platform]
+address = %s
+fleet_size = %d
+
+[backend]
+address = %s
+slots = %d
+connections = %d
+`, h.Name, h.DataCentre, h.Service, h.Caller(), h.IP, peerPort, peer, h.Operator(), h.fleet.Platform, max(1, len(h.fleet.Hosts)), h.Backend, h.Slots, h.Connections)
+}
+
+func (f *Fleet) sharedBackend() string {
+	return fmt.Sprintf("%s.255.2:%d", f.prefix, backendPort)
+}
+
+func (f *Fleet) start(name, program string, args ...string) (*Process, error) {
+	file := filepath.Join(f.dir, name+".log")
+	log, err := os.OpenFile(file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("opening the log of %q: %w", name, err)
+	}
+	defer log.Close()
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("starting %q: %w", name, err)
+	}
+	p := &Process{cmd: cmd, done: make(chan struct{}), log: file}
+	go p.run()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started = append(f.started, p)
+	return p, nil
+}
+
+func (f *Fleet) await(limit time.Duration, what string, check func() bool) error {
+	deadline := time.Now().Add(limit)
+	for !check() {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("waited %s for %s", limit, what)
+		}
+		time.Sleep(pollPause)
+	}
+	return nil
+}
+
+func (f *Fleet) put(collection, name string, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+f.Platform+"/admin/"+collection+"/"+name, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("publishing %q: %w", name, err)
+	}
+	return send(r, nil)
+}
+
+// run waits for the end of the process.
+func (p *Process) run() {
+	p.err = p.cmd.Wait()
+	close(p.done)
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) {
+	_ = p.cmd.Process.Signal(s)
+}
+
+// Kill ends the process and waits for its end.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Await waits for the end of the process and returns its exit status.
+func (p *Process) Await(limit time.Duration) (int, error) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-t.C:
+		return 0, fmt.Errorf("process %d still runs after %s", p.cmd.Process.Pid, limit)
+	}
+}
+
+// Pid returns the process id.
+func (p *Process) Pid() int {
+	return p.cmd.Process.Pid
+}
+
+func getJSON(url string, into any) error {
+	r, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("asking %q: %w", url, err)
+	}
+	return send(r, into)
+}
+
+func postJSON(url string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encoding for %q: %w", url, err)
+	}
+	r, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("asking %q: %w", url, err)
+	}
+	return send(r, nil)
+}
+
+func send(r *http.Request, into any) error {
+	a, err := client.Do(r)
+	if err != nil {
+		return fmt.Errorf("asking %q: %w", r.URL, err)
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		return fmt.Errorf("reading %q: %w", r.URL, err)
+	}
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("%q answered %d: %s", r.URL, a.StatusCode, body)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(body, into)
+}
