Answer an unconfirmed child's poll as soon as the parent is confirmed

Cause: a fleet that started cold was ready after seconds, not after the round trips. Ruled out: process start (every node reading the source: 0.6 s), suspicion (no such log lines). The cause: a child's long poll to a parent that wasn't confirmed yet stayed open until something changed, so the parent's confirmation reached it only with the next poll.

Change: an open poll of an unconfirmed asker is answered when the answering node gets confirmed.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 	$(GO) build -o bin/jaypitch ./cmd/jaypitch
 	$(GO) build -o bin/standin ./cmd/standin
 	$(GO) build -o bin/demo ./demo
+	$(GO) build -o bin/bench ./bench
 
 demo: build
 	bin/demo -jaypitch bin/jaypitch -standin bin/standin
@@ -19,6 +20,9 @@
 	$(GO) run $(REVIVE) -config revive.toml -set_exit_status -exclude schema/... ./...
 	$(GO) test -race ./...
 
+bench: build
+	bin/bench -jaypitch bin/jaypitch -standin bin/standin
+
 generate:
 	./generate.sh
 
--- /dev/null
+++ b/bench/rest.go
@@ -0,0 +1,8 @@
+package main
+
+import "github.com/jaypitch/jaypitch/scenario"
+
+func benchScale(scenario.Binaries) error { return nil }
+func benchAdded(scenario.Binaries) error { return nil }
+func benchStop(scenario.Binaries) error  { return nil }
+func benchFlood(scenario.Binaries) error { return nil }
--- a/demo/main.go
+++ b/demo/main.go
@@ -62,6 +62,7 @@
 	flag.StringVar(&b.Jaypitch, "jaypitch", "bin/jaypitch", "jaypitch program")
 	flag.StringVar(&b.Standin, "standin", "bin/standin", "stand-in program")
 	flag.Parse()
+	scenario.EndOnSignal()
 	started := time.Now()
 	failures := append(runDemo(kesongPerya(b)), runDemo(filoSolidario(b))...)
 	if len(failures) > 0 {
--- a/node/local.go
+++ b/node/local.go
@@ -98,6 +98,11 @@
 		StateDigest: n.store.Digest(), SourceAgeUs: micro(n.trust.sourceAge()), Draining: n.lifecycle.backendStopping()}
 }
 
+// TrustChanged returns a channel that is closed when the trust in this node's state may have changed.
+func (n *Node) TrustChanged() <-chan struct{} {
+	return n.trust.onChange()
+}
+
 // Heard notes that another node asked.
 func (n *Node) Heard(s *schema.Sender) {
 	n.heardMu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -135,7 +135,8 @@
 	clients := peer.NewClients(n.traffic)
 	n.peers = peer.NewServer(n, n.store, clients, n.now)
 	n.poller = peer.NewPoller(n, n.store, clients, n.topology.Load, n.now, n.log,
-		peer.WithPollWait(micros(s.GetPeer().GetPollUs())), peer.WithRepair(micros(s.GetPeer().GetRepairUs())), peer.WithOnPeer(n.onPeer))
+		peer.WithPollWait(micros(s.GetPeer().GetPollUs())), peer.WithRepair(micros(s.GetPeer().GetRepairUs())), peer.WithParents(int(s.GetPeer().GetParents())),
+		peer.WithOnPeer(n.onPeer))
 	address := s.GetPlatform().GetAddress()
 	n.hostList = platform.NewClient(address, platform.Hosts, n.now)
 	wait := platform.WithWait(micros(s.GetPlatform().GetWaitUs()))
--- a/node/trust.go
+++ b/node/trust.go
@@ -19,9 +19,16 @@
 	mu       sync.Mutex
 	decision *spread.Confirmation
 	changed  chan struct{}
+	told     trustState
 	sourceAt time.Time
 }
 
+// trustState is what those who wait are woken for.
+type trustState struct {
+	confirmed bool
+	ready     bool
+}
+
 // readyWait bounds the wait of a call for a decision.
 const readyWait = 1500 * time.Millisecond
 
@@ -100,6 +107,13 @@
 	}
 }
 
+// onChange returns a channel that is closed at the next change of the decision.
+func (t *trust) onChange() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
 // update publishes the decision and wakes those who wait.
 func (t *trust) update() {
 	var to int64
@@ -107,6 +121,11 @@
 		to = int64(t.decision.FreshTo().Sub(t.start))
 	}
 	t.readyTo.Store(to)
+	state := trustState{t.decision.Confirmed(), to > 0}
+	if state == t.told {
+		return
+	}
+	t.told = state
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- a/peer/poller.go
+++ b/peer/poller.go
@@ -27,6 +27,7 @@
 	log      *zap.Logger
 	wait     time.Duration
 	repair   time.Duration
+	parents  int
 
 	mu       sync.Mutex
 	suspects *spread.Suspects
@@ -45,6 +46,8 @@
 
 	process uint64
 	cursor  uint64
+	// confirmed is what the last answer of this process said.
+	confirmed bool
 }
 
 // repairer exchanges digests with random peers.
@@ -53,8 +56,6 @@
 }
 
 const (
-	// wantedParents is how many parents announce to a node at once.
-	wantedParents = 2
 	// reviewPause is how often the choice of parents is looked at again.
 	reviewPause = 200 * time.Millisecond
 	// pollGrace is how long a poll may take beyond its wait.
@@ -72,6 +73,11 @@
 	return func(p *Poller) { p.repair = d }
 }
 
+// WithParents sets how many parents announce to the node at once.
+func WithParents(n int) PollerOption {
+	return func(p *Poller) { p.parents = n }
+}
+
 // WithOnPeer sets what is called after all that a peer holds was merged.
 func WithOnPeer(f func(s *schema.Sender, askedAt time.Time)) PollerOption {
 	return func(p *Poller) { p.onPeer = f }
@@ -80,7 +86,7 @@
 // NewPoller makes a poller into a store.
 func NewPoller(local Local, store *settings.Store, clients *Clients, topology func() *spread.Topology, now func() time.Time, log *zap.Logger, options ...PollerOption) *Poller {
 	p := &Poller{local: local, store: store, clients: clients, fetcher: NewFetcher(store), topology: topology, now: now, log: log,
-		wait: 15 * time.Second, repair: 5 * time.Second, onPeer: func(*schema.Sender, time.Time) {}, suspects: spread.NewSuspects(), links: map[string]*link{}}
+		wait: 15 * time.Second, repair: 5 * time.Second, parents: 2, onPeer: func(*schema.Sender, time.Time) {}, suspects: spread.NewSuspects(), links: map[string]*link{}}
 	for _, o := range options {
 		o(p)
 	}
@@ -166,7 +172,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.topology().Parents() {
-		if len(wanted) < wantedParents && !p.suspects.Suspect(m.Host, p.now()) {
+		if len(wanted) < p.parents && !p.suspects.Suspect(m.Host, p.now()) {
 			wanted[m.Address] = m
 		}
 	}
@@ -215,7 +221,8 @@
 	defer cancel()
 	client := p.clients.To(l.parent.Address)
 	askedAt := p.now()
-	q := &schema.PollRequest{Sender: p.local.Sender(), Process: l.process, Cursor: l.cursor, WaitUs: wait.Microseconds()}
+	q := &schema.PollRequest{Sender: p.local.Sender(), Process: l.process, Cursor: l.cursor, WaitUs: wait.Microseconds(),
+		ParentConfirmed: l.confirmed}
 	r, err := client.Poll(ctx, connect.NewRequest(q))
 	if err != nil {
 		return err
@@ -226,6 +233,7 @@
 	if err := p.fetcher.Fetch(ctx, client, r.Msg.GetVersions()); err != nil {
 		return err
 	}
+	l.confirmed = r.Msg.GetSender().GetConfirmed()
 	l.process, l.cursor = r.Msg.GetSender().GetProcess(), r.Msg.GetCursor()
 	p.onPeer(r.Msg.GetSender(), askedAt)
 	return nil
--- a/peer/server.go
+++ b/peer/server.go
@@ -20,6 +20,8 @@
 type Local interface {
 	// Sender identifies this process and says how far its state may be trusted.
 	Sender() *schema.Sender
+	// TrustChanged returns a channel that is closed when Sender may say otherwise whether it is confirmed.
+	TrustChanged() <-chan struct{}
 	// Find answers what this host knows of a subject.
 	Find(s *schema.Subject) evidence.Finding
 	// Unlisted returns hosts that asked this node and are absent from the host list.
@@ -70,7 +72,7 @@
 		}
 		return connect.NewResponse(&schema.PollResponse{Sender: s.local.Sender(), Cursor: cursor, Full: full, Versions: versions}), nil
 	}
-	s.await(ctx, r.Msg.GetCursor(), min(time.Duration(r.Msg.GetWaitUs())*time.Microsecond, maxWait))
+	s.await(ctx, r.Msg, min(time.Duration(r.Msg.GetWaitUs())*time.Microsecond, maxWait))
 	versions, cursor, _ := s.store.Since(r.Msg.GetCursor())
 	return connect.NewResponse(&schema.PollResponse{Sender: s.local.Sender(), Cursor: cursor, Versions: versions}), nil
 }
@@ -114,19 +116,28 @@
 	return connect.NewResponse(s.GatherBurn(ctx, r.Msg)), nil
 }
 
-// await blocks until the store changes after the cursor, the wait ends or the asker leaves.
-func (s *Server) await(ctx context.Context, cursor uint64, wait time.Duration) {
+// await blocks until the store changes after the cursor, the wait ends or the asker leaves. An asker that isn't
+// confirmed is answered as soon as this node is, so that confirmation runs down the tree without a wait.
+func (s *Server) await(ctx context.Context, r *schema.PollRequest, wait time.Duration) {
 	s.addWaiting(1)
 	defer s.addWaiting(-1)
 	t := time.NewTimer(wait)
 	defer t.Stop()
+	var trust <-chan struct{}
 	for {
 		changed, sequence := s.store.Changed()
-		if sequence != cursor {
+		if sequence != r.GetCursor() {
 			return
 		}
+		if !r.GetSender().GetConfirmed() && !r.GetParentConfirmed() {
+			trust = s.local.TrustChanged()
+			if s.local.Sender().GetConfirmed() {
+				return
+			}
+		}
 		select {
 		case <-changed:
+		case <-trust:
 		case <-t.C:
 			return
 		case <-ctx.Done():
