Share what a change leaves alone between routing tables

Cause: each accepted change parsed its whole document and built the whole table again.

Change: host sections that stand to the letter in the version before are not parsed again; data centres, services and team tables that a change doesn't touch are shared with the table before. The order of each data centre's hosts is kept while its list stays.

--- /dev/null
+++ b/bench/settings.go
@@ -0,0 +1,6 @@
+package main
+
+import _ "embed"
+
+//go:embed fairs.ini
+var fairs string
--- a/caller/dispatcher.go
+++ b/caller/dispatcher.go
@@ -101,7 +101,7 @@
 		result.Answer = d.local.Serve(ctx, a)
 		return result
 	}
-	h := d.store.Table().Hosts[token.Host]
+	h := d.store.Table().Host(token.Host)
 	if h == nil {
 		result.Answer = jaypitch.Refusal(jaypitch.CodeUnknown, "the host of the token is not in the host list")
 		return result
@@ -132,7 +132,7 @@
 func (d *Dispatcher) Keep(t *settings.Table) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.picker.Keep(t.Hosts)
+	d.picker.Keep(t)
 }
 
 // ended keeps the last answer if there was one, since it says more than that no host is left.
--- a/node/local.go
+++ b/node/local.go
@@ -45,7 +45,7 @@
 
 // CatchUp brings this node up to a team's revision from the sender, within a bounded time.
 func (n *Node) CatchUp(ctx context.Context, sender, team string, revision int64) {
-	h := n.store.Table().Hosts[sender]
+	h := n.store.Table().Host(sender)
 	if h == nil {
 		return
 	}
@@ -65,7 +65,7 @@
 
 // askAhead asks a host that turned out to hold newer settings.
 func (n *Node) askAhead(host string) {
-	if h := n.store.Table().Hosts[host]; h != nil {
+	if h := n.store.Table().Host(host); h != nil {
 		a := &asker{n, h.Address}
 		go a.run()
 	}
@@ -119,7 +119,7 @@
 	for host, h := range n.heard {
 		if n.now().After(h.until) {
 			delete(n.heard, host)
-		} else if t.Hosts[host] == nil && host != "" {
+		} else if t.Host(host) == nil && host != "" {
 			out = append(out, &schema.Target{Host: host})
 		}
 	}
@@ -168,7 +168,7 @@
 // enforced says whether a table serves the subject.
 func enforced(t *settings.Table, s *schema.Subject) bool {
 	if s.GetBackend() != "" {
-		h := t.Hosts[s.GetBackend()]
+		h := t.Host(s.GetBackend())
 		return h != nil && !h.Leaving
 	}
 	if s.GetRevision() != 0 {
--- a/node/loops.go
+++ b/node/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -66,14 +67,17 @@
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
 	started := n.now()
+	before := n.store.Table()
 	t := n.store.Apply()
 	if t == nil {
 		return
 	}
-	n.setTopology(t)
+	if !maps.Equal(t.Centres, before.Centres) {
+		n.setTopology(t)
+		n.dispatcher.Keep(t)
+	}
 	n.receiver.Configure(t)
-	n.dispatcher.Keep(t)
-	own := t.Hosts[n.settings.GetNode().GetHost()]
+	own := t.Host(n.settings.GetNode().GetHost())
 	n.lifecycle.set(StopHostList, own == nil && n.ownSeen || own != nil && own.Leaving)
 	n.ownSeen = n.ownSeen || own != nil
 	n.metrics.Applied(n.now().Sub(started))
--- a/route/picker.go
+++ b/route/picker.go
@@ -144,9 +144,9 @@
 }
 
 // Keep forgets hosts that are not listed any more and have no calls.
-func (p *Picker) Keep(listed map[string]*settings.Host) {
+func (p *Picker) Keep(t *settings.Table) {
 	for name, e := range p.peers {
-		if listed[name] == nil && e.inFlight == 0 {
+		if t.Host(name) == nil && e.inFlight == 0 {
 			delete(p.peers, name)
 		}
 	}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -5,8 +5,6 @@
 import (
 	"fmt"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/ini"
 	"github.com/jaypitch/jaypitch/schema"
@@ -33,29 +31,17 @@
 	return t, problems
 }
 
-// ParseHosts reads the host list of a data centre.
-func ParseHosts(file string, text []byte) (*schema.HostSettings, ini.Problems) {
-	h := &schema.HostSettings{}
-	problems := ini.Decode(file, text, h)
-	seen := map[string]string{}
-	for _, s := range h.GetHost() {
-		if other, ok := seen[s.GetAddress()]; ok && s.GetAddress() != "" {
-			problems = append(problems, ini.Problem{Code: jaypitch.CodeDuplicate, File: file, Section: "host " + s.GetName(), Key: "address",
-				Reason: fmt.Sprintf("%s is the address of host %q too", s.GetAddress(), other)})
-		}
-		seen[s.GetAddress()] = s.GetName()
+// parse reads a document by its key; a host list shares what it can with the one accepted before.
+func parse(d jaypitch.Document, before any) (any, ini.Problems) {
+	if jaypitch.DataCentre(d.Key) == "" {
+		t, problems := ParseTeam(d.Key, jaypitch.Team(d.Key), d.Text)
+		return t, problems
 	}
+	earlier, _ := before.(*HostDocument)
+	h, problems := parseHosts(d.Key, d.Text, earlier)
 	return h, problems
 }
 
-// parse reads a document by its key.
-func parse(d jaypitch.Document) (proto.Message, ini.Problems) {
-	if jaypitch.DataCentre(d.Key) != "" {
-		return ParseHosts(d.Key, d.Text)
-	}
-	return ParseTeam(d.Key, jaypitch.Team(d.Key), d.Text)
-}
-
 func duplicateListeners(file string, n *schema.NodeSettings) ini.Problems {
 	var problems ini.Problems
 	seen := map[string]string{}
--- a/settings/state.go
+++ b/settings/state.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/ini"
@@ -30,8 +29,8 @@
 // Entry is what is held of one document.
 type Entry struct {
 	Document jaypitch.Document
-	// Parsed is a *schema.TeamSettings or *schema.HostSettings; nil for a tombstone.
-	Parsed proto.Message
+	// Parsed is a *schema.TeamSettings or *HostDocument; nil for a tombstone.
+	Parsed any
 	// Since is when the document was accepted here.
 	Since time.Time
 	// Refused is the newest refused revision, if it is newer than the accepted one.
@@ -83,9 +82,9 @@
 			return s.ignored(e, o)
 		}
 	}
-	var parsed proto.Message
+	var parsed any
 	if !d.Deleted {
-		m, problems := parse(d)
+		m, problems := parse(d, parsedOf(e))
 		if len(problems) > 0 {
 			s.MergeRefusal(d.Key, refusalOf(d.Revision, problems))
 			return Refused
@@ -220,6 +219,14 @@
 	return xxhash.Sum64(b)
 }
 
+// parsedOf returns the parsed form of what is held, if anything is.
+func parsedOf(e *Entry) any {
+	if e == nil {
+		return nil
+	}
+	return e.Parsed
+}
+
 func (s *State) ignored(e *Entry, o Outcome) Outcome {
 	if o == Conflicting {
 		e.Conflict = true
@@ -227,7 +234,7 @@
 	return o
 }
 
-func (s *State) accept(d jaypitch.Document, parsed proto.Message, now time.Time) {
+func (s *State) accept(d jaypitch.Document, parsed any, now time.Time) {
 	e := s.entries[d.Key]
 	if e == nil {
 		e = &Entry{}
--- a/settings/store.go
+++ b/settings/store.go
@@ -25,7 +25,7 @@
 // NewStore makes a store that holds nothing, with an empty table in force.
 func NewStore(now func() time.Time) *Store {
 	s := &Store{now: now, state: NewState(), changed: make(chan struct{}), since: map[string]time.Time{}}
-	s.table.Store(Build(s.state))
+	s.table.Store(Build(s.state, nil))
 	return s
 }
 
@@ -64,7 +64,7 @@
 	if s.applied == s.state.Sequence() {
 		return nil
 	}
-	t := Build(s.state)
+	t := Build(s.state, s.table.Load())
 	t.Number = s.table.Load().Number + 1
 	s.applied = s.state.Sequence()
 	s.noteSince(t)
--- a/settings/table.go
+++ b/settings/table.go
@@ -3,22 +3,12 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/schema"
 )
 
-// Host is one host of the host list.
-type Host struct {
-	Name       string
-	DataCentre string
-	Service    string
-	Address    string
-	Leaving    bool
-}
-
 // Rank is one rank of work of a service's team.
 type Rank struct {
 	Name     string
@@ -38,8 +28,10 @@
 	DeadlineUS int64
 	// Ranks are ordered, most urgent first.
 	Ranks []*Rank
-	// Hosts are live, ordered by name.
+	// Hosts are live, ordered by data centre and name.
 	Hosts []*Host
+
+	owner *schema.TeamSettings
 }
 
 // Route is a route whose service, rank and backend servers are all held.
@@ -61,6 +53,9 @@
 	Routes   map[string]*Route
 	// Withdrawn holds the declared routes that can't be served, with the reason.
 	Withdrawn map[string]*jaypitch.Error
+
+	settings *schema.TeamSettings
+	ranks    []*Rank
 }
 
 // Table is a routing table: a function of the accepted documents alone. It is never changed once
@@ -68,25 +63,64 @@
 type Table struct {
 	Teams    map[string]*TeamTable
 	Services map[string]*Service
-	// Hosts is the whole host list by name, leaving hosts among them.
-	Hosts map[string]*Host
+	Centres  map[string]*Centre
 	// Number grows with each table that the node puts in force.
 	Number uint64
 }
 
-// Build makes the routing table of a state.
-func Build(s *State) *Table {
-	t := &Table{Teams: map[string]*TeamTable{}, Services: map[string]*Service{}, Hosts: map[string]*Host{}}
-	teams := t.declare(s)
-	t.addHosts(s)
-	for name, team := range teams {
-		d := s.entries[jaypitch.TeamPrefix+name].Document
-		t.Teams[name] = t.resolve(name, d, team)
+// Build makes the routing table of a state. What is the same in the table before is shared with it; the
+// result doesn't depend on it.
+func Build(s *State, before *Table) *Table {
+	if before == nil {
+		before = &Table{}
+	}
+	t := &Table{Teams: map[string]*TeamTable{}, Services: make(map[string]*Service, len(before.Services)), Centres: map[string]*Centre{}}
+	changed := t.takeCentres(s, before)
+	declared := t.takeTeams(s, before)
+	t.declare(declared, changed, before)
+	for name, tt := range declared {
+		t.Teams[name] = t.settled(name, tt, before)
 	}
-	t.addTombstones(s)
 	return t
 }
 
+// Host returns a listed host, or nil; of two lists that name one host the first by data centre counts.
+func (t *Table) Host(name string) *Host {
+	var found *Host
+	for _, c := range t.Centres {
+		if h := c.Hosts[name]; h != nil && (found == nil || h.DataCentre < found.DataCentre) {
+			found = h
+		}
+	}
+	return found
+}
+
+// HostCount returns the number of listed hosts.
+func (t *Table) HostCount() int {
+	n := 0
+	for _, c := range t.Centres {
+		n += len(c.Hosts)
+	}
+	return n
+}
+
+// Hosts returns all listed hosts, ordered by name.
+func (t *Table) Hosts() []*Host {
+	names := map[string]*Host{}
+	for _, centre := range slices.Sorted(maps.Keys(t.Centres)) {
+		for name, h := range t.Centres[centre].Hosts {
+			if names[name] == nil {
+				names[name] = h
+			}
+		}
+	}
+	hosts := make([]*Host, 0, len(names))
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		hosts = append(hosts, names[name])
+	}
+	return hosts
+}
+
 // Route returns a route for a customer, or the reason why there is none.
 func (t *Table) Route(team, route, customer string) (*Route, *jaypitch.Error) {
 	tt := t.Teams[team]
@@ -106,84 +140,99 @@
 	return r, nil
 }
 
-// HostNames returns the names of all listed hosts, in order.
-func (t *Table) HostNames() []string {
-	return slices.Sorted(maps.Keys(t.Hosts))
+// Deadline returns when a call that arrives now on the route has to end.
+func (r *Route) Deadline(now time.Time) time.Time {
+	return now.Add(time.Duration(r.DeadlineUS) * time.Microsecond)
 }
 
-// declare enters every team's services; of two teams that declare one service the first by name keeps it.
-func (t *Table) declare(s *State) map[string]*schema.TeamSettings {
-	teams := map[string]*schema.TeamSettings{}
-	for _, key := range s.Keys() {
-		team, ok := s.entries[key].Parsed.(*schema.TeamSettings)
-		if !ok {
+// takeCentres enters the host lists and returns the data centres whose list differs from the table before.
+func (t *Table) takeCentres(s *State, before *Table) []string {
+	for key, e := range s.entries {
+		name := jaypitch.DataCentre(key)
+		d, ok := e.Parsed.(*HostDocument)
+		if name == "" || !ok {
 			continue
 		}
-		name := jaypitch.Team(key)
-		teams[name] = team
-		ranks := ranksOf(team)
-		for _, v := range team.GetService() {
-			if t.Services[v.GetName()] == nil {
-				t.Services[v.GetName()] = &Service{Name: v.GetName(), Team: name, DeadlineUS: v.GetDeadlineUs(), Ranks: ranks}
-			}
+		c := before.Centres[name]
+		if c == nil || c.Revision != e.Document.Revision || c.Digest != e.Document.Digest {
+			c = newCentre(e, d, c)
 		}
+		t.Centres[name] = c
 	}
-	return teams
-}
-
-func (t *Table) addHosts(s *State) {
-	for _, key := range s.Keys() {
-		list, ok := s.entries[key].Parsed.(*schema.HostSettings)
-		if !ok {
-			continue
-		}
-		for _, h := range list.GetHost() {
-			t.addHost(&Host{Name: h.GetName(), DataCentre: jaypitch.DataCentre(key), Service: h.GetService(),
-				Address: h.GetAddress(), Leaving: h.GetState() == "leaving"})
+	var changed []string
+	for name, c := range t.Centres {
+		if before.Centres[name] != c {
+			changed = append(changed, name)
 		}
 	}
-	for _, v := range t.Services {
-		slices.SortFunc(v.Hosts, func(a, b *Host) int { return strings.Compare(a.Name, b.Name) })
+	for name := range before.Centres {
+		if t.Centres[name] == nil {
+			changed = append(changed, name)
+		}
 	}
+	return changed
 }
 
-// addHost enters a host; of two lists that name one host the first by data centre keeps it.
-func (t *Table) addHost(h *Host) {
-	if t.Hosts[h.Name] != nil {
-		return
-	}
-	t.Hosts[h.Name] = h
-	if v := t.Services[h.Service]; v != nil && !h.Leaving {
-		v.Hosts = append(v.Hosts, h)
+// takeTeams returns each team's table: the one before, or one whose routes are still to be settled.
+func (t *Table) takeTeams(s *State, before *Table) map[string]*TeamTable {
+	teams := map[string]*TeamTable{}
+	for key, e := range s.entries {
+		name := jaypitch.Team(key)
+		if name == "" || e.Document.Revision == 0 {
+			continue
+		}
+		d := e.Document
+		tt := before.Teams[name]
+		if tt == nil || tt.Revision != d.Revision || tt.Digest != d.Digest || tt.Deleted != d.Deleted {
+			tt = &TeamTable{Revision: d.Revision, Digest: d.Digest, Deleted: d.Deleted}
+			if settings, ok := e.Parsed.(*schema.TeamSettings); ok {
+				tt.settings, tt.ranks = settings, ranksOf(settings)
+			}
+		}
+		teams[name] = tt
 	}
+	return teams
 }
 
-// addTombstones enters deleted teams, so that their revision can be shown.
-func (t *Table) addTombstones(s *State) {
-	for key, e := range s.entries {
-		if name := jaypitch.Team(key); name != "" && e.Document.Deleted {
-			t.Teams[name] = &TeamTable{Revision: e.Document.Revision, Deleted: true}
+// declare enters every team's services; of two teams that declare one service the first by name keeps it.
+func (t *Table) declare(teams map[string]*TeamTable, changed []string, before *Table) {
+	centres := slices.Sorted(maps.Keys(t.Centres))
+	for _, name := range slices.Sorted(maps.Keys(teams)) {
+		tt := teams[name]
+		for _, d := range tt.settings.GetService() {
+			if t.Services[d.GetName()] != nil {
+				continue
+			}
+			v := before.Services[d.GetName()]
+			if v == nil || v.owner != tt.settings || t.moved(d.GetName(), changed, before) {
+				v = &Service{Name: d.GetName(), Team: name, DeadlineUS: d.GetDeadlineUs(), Ranks: tt.ranks, Hosts: t.live(d.GetName(), centres), owner: tt.settings}
+			}
+			t.Services[d.GetName()] = v
 		}
 	}
 }
 
-// resolve settles the references of a team's routes.
-func (t *Table) resolve(name string, d jaypitch.Document, team *schema.TeamSettings) *TeamTable {
-	tt := &TeamTable{Revision: d.Revision, Digest: d.Digest, Routes: map[string]*Route{}, Withdrawn: map[string]*jaypitch.Error{}}
+// settled returns a team's table with its references settled against this table's services.
+func (t *Table) settled(name string, tt *TeamTable, before *Table) *TeamTable {
+	if before.Teams[name] == tt && t.sameServices(tt, before) {
+		return tt
+	}
+	own := &TeamTable{Revision: tt.Revision, Digest: tt.Digest, Deleted: tt.Deleted, Routes: map[string]*Route{}, Withdrawn: map[string]*jaypitch.Error{},
+		settings: tt.settings, ranks: tt.ranks}
 	all := map[string]bool{}
-	for _, c := range team.GetCustomer() {
+	for _, c := range tt.settings.GetCustomer() {
 		all[c.GetName()] = true
 	}
-	for _, r := range team.GetRoute() {
+	for _, r := range tt.settings.GetRoute() {
 		service, rank, e := t.settle(r)
 		if e != nil {
-			tt.Withdrawn[r.GetName()] = e
+			own.Withdrawn[r.GetName()] = e
 			continue
 		}
-		tt.Routes[r.GetName()] = &Route{Team: name, Name: r.GetName(), Service: service, Rank: rank,
+		own.Routes[r.GetName()] = &Route{Team: name, Name: r.GetName(), Service: service, Rank: rank,
 			Idempotent: r.GetIdempotent(), DeadlineUS: min(r.GetDeadlineUs(), service.DeadlineUS), Customers: customersOf(r, all)}
 	}
-	return tt
+	return own
 }
 
 // settle finds the service and the rank of a route.
@@ -202,6 +251,39 @@
 	return service, service.Ranks[i], nil
 }
 
+// moved says whether the hosts of a service differ from the table before.
+func (t *Table) moved(service string, changed []string, before *Table) bool {
+	for _, c := range changed {
+		if !sameLive(t.Centres[c], before.Centres[c], service) {
+			return true
+		}
+	}
+	return false
+}
+
+// live returns the hosts of a service in all data centres; a host that two lists name counts once.
+func (t *Table) live(service string, centres []string) []*Host {
+	var hosts []*Host
+	for _, c := range centres {
+		for _, h := range t.Centres[c].live[service] {
+			if !slices.ContainsFunc(hosts, func(o *Host) bool { return o.Name == h.Name }) {
+				hosts = append(hosts, h)
+			}
+		}
+	}
+	return hosts
+}
+
+// sameServices says whether every service that a team's routes name is shared with the table before.
+func (t *Table) sameServices(tt *TeamTable, before *Table) bool {
+	for _, r := range tt.settings.GetRoute() {
+		if t.Services[r.GetService()] != before.Services[r.GetService()] {
+			return false
+		}
+	}
+	return true
+}
+
 func customersOf(r *schema.RouteSection, all map[string]bool) map[string]bool {
 	if slices.Contains(r.GetCustomers(), "*") {
 		return all
@@ -222,8 +304,3 @@
 	slices.SortFunc(ranks, func(a, b *Rank) int { return a.Order - b.Order })
 	return ranks
 }
-
-// Deadline returns when a call that arrives now on the route has to end.
-func (r *Route) Deadline(now time.Time) time.Time {
-	return now.Add(time.Duration(r.DeadlineUS) * time.Microsecond)
-}
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -4,8 +4,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -32,8 +34,14 @@
 	fanout  int
 	readers int
 	local   []Member
-	remote  []Member
 	ring    []Member
+	centres []centre
+}
+
+// centre is a data centre with its members in the order that all nodes share.
+type centre struct {
+	list    *settings.Centre
+	members []Member
 }
 
 const (
@@ -45,39 +53,29 @@
 	positionWeights = math.Pi * math.Pi / 6
 )
 
-// NewTopology works out the place of self among the hosts of a table.
-func NewTopology(self Member, hosts map[string]*settings.Host, fanout, readers int) *Topology {
+// NewTopology works out the place of self among the listed hosts. The orders of data centres whose list
+// is the same as in the topology before are taken from there; before may be nil.
+func NewTopology(self Member, lists map[string]*settings.Centre, fanout, readers int, before *Topology) *Topology {
 	t := &Topology{Self: self, fanout: fanout, readers: readers}
-	byCentre := map[string][]Member{}
-	for _, h := range hosts {
-		m := Member{Host: h.Name, DataCentre: h.DataCentre, Address: h.Address}
-		byCentre[h.DataCentre] = append(byCentre[h.DataCentre], m)
-	}
-	if h := hosts[self.Host]; h != nil {
-		t.Listed = true
-	} else {
-		byCentre[self.DataCentre] = append(byCentre[self.DataCentre], self)
-	}
-	t.DataCentres = len(byCentre)
-	t.local = order(byCentre[self.DataCentre])
-	t.Position = slices.IndexFunc(t.local, func(m Member) bool { return m.Host == self.Host })
-	if t.Position < 0 {
-		t.Position = len(t.local)
+	for _, name := range slices.Sorted(maps.Keys(lists)) {
+		t.centres = append(t.centres, centreOf(lists[name], before))
 	}
-	for centre, members := range byCentre {
-		if centre != self.DataCentre {
-			t.remote = append(t.remote, members...)
-		}
+	own := lists[self.DataCentre]
+	t.Listed = own != nil && own.Hosts[self.Host] != nil
+	t.DataCentres = len(lists)
+	if own == nil {
+		t.DataCentres++
 	}
-	slices.SortFunc(t.remote, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
-	t.ring = t.ringParents(byCentre)
+	t.local = t.ownMembers()
+	t.Position = slices.IndexFunc(t.local, func(m Member) bool { return m.Host == self.Host })
+	t.ring = t.ringParents()
 	return t
 }
 
 // Reader says whether this node reads the source: fewer than the wanted number of hosts before it are unsuspected.
 func (t *Topology) Reader(suspect func(host string) bool) bool {
 	before := 0
-	for _, m := range t.local[:min(t.Position, len(t.local))] {
+	for _, m := range t.local[:t.Position] {
 		if !suspect(m.Host) {
 			before++
 		}
@@ -116,8 +114,8 @@
 // Random returns a host for repair: of this data centre for an even pick, of another for an odd one.
 func (t *Topology) Random(pick uint64) (Member, bool) {
 	pool := t.local
-	if pick%2 == 1 && len(t.remote) > 0 {
-		pool = t.remote
+	if remote := t.remote(); pick%2 == 1 && len(remote) > 0 {
+		pool = remote[(pick/2)%uint64(len(remote))].members
 	}
 	pick /= 2
 	for i := range uint64(len(pool)) {
@@ -131,13 +129,38 @@
 
 // Others returns how many other hosts are listed.
 func (t *Topology) Others() int {
-	n := len(t.local) + len(t.remote)
-	if t.Position < len(t.local) {
-		n--
+	n := len(t.local) - 1
+	for _, c := range t.remote() {
+		n += len(c.members)
 	}
 	return n
 }
 
+// remote returns the other data centres that have hosts.
+func (t *Topology) remote() []centre {
+	var out []centre
+	for _, c := range t.centres {
+		if c.list.Name != t.Self.DataCentre && len(c.members) > 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// ownMembers returns the members of this data centre, with this host in its place even if it isn't listed.
+func (t *Topology) ownMembers() []Member {
+	var members []Member
+	for _, c := range t.centres {
+		if c.list.Name == t.Self.DataCentre {
+			members = c.members
+		}
+	}
+	if t.Listed {
+		return members
+	}
+	return order(append(slices.Clone(members), t.Self))
+}
+
 // appendPair adds a position and the one beside it, if they stand before this node.
 func (t *Topology) appendPair(parents []Member, first int) []Member {
 	second := first ^ 1
@@ -153,36 +176,50 @@
 
 // withSpares adds hosts that stand before this one, in an order of this node's own.
 func (t *Topology) withSpares(parents []Member) []Member {
-	before := slices.Clone(t.local[:min(t.Position, len(t.local))])
-	slices.SortFunc(before, func(a, b Member) int {
-		return cmp.Compare(pairHash(t.Self.Host, a.Host), pairHash(t.Self.Host, b.Host))
-	})
-	for _, m := range before[:min(spareParents, len(before))] {
-		parents = appendMember(parents, m)
+	for i := range min(spareParents, t.Position) {
+		place := pairHash(t.Self.Host, strconv.Itoa(i)) % uint64(t.Position)
+		parents = appendMember(parents, t.local[place])
 	}
 	return parents
 }
 
 // ringParents returns the hosts at this position in the data centres that follow in order of name.
-func (t *Topology) ringParents(byCentre map[string][]Member) []Member {
-	var centres []string
-	for c := range byCentre {
-		centres = append(centres, c)
-	}
-	slices.Sort(centres)
-	own := slices.Index(centres, t.Self.DataCentre)
+func (t *Topology) ringParents() []Member {
+	following := t.remote()
+	first := slices.IndexFunc(following, func(c centre) bool { return c.list.Name > t.Self.DataCentre })
 	var parents []Member
-	for i := 1; i <= min(ringLinks, len(centres)-1); i++ {
-		members := order(byCentre[centres[(own+i)%len(centres)]])
-		parents = append(parents, members[t.Position%len(members)])
+	for i := range min(ringLinks, len(following)) {
+		c := following[(max(first, 0)+i)%len(following)]
+		parents = append(parents, c.members[t.Position%len(c.members)])
 	}
 	return parents
 }
 
+// centreOf orders the members of a list, unless the topology before has done so.
+func centreOf(list *settings.Centre, before *Topology) centre {
+	if before != nil {
+		for _, c := range before.centres {
+			if c.list == list {
+				return c
+			}
+		}
+	}
+	c := centre{list: list}
+	for _, h := range list.Hosts {
+		c.members = append(c.members, Member{Host: h.Name, DataCentre: list.Name, Address: h.Address})
+	}
+	c.members = order(c.members)
+	return c
+}
+
 // order sorts the members of one data centre by their hashes, the same on every node.
 func order(members []Member) []Member {
+	hashes := make(map[string]uint64, len(members))
+	for _, m := range members {
+		hashes[m.Host] = pairHash(m.DataCentre, m.Host)
+	}
 	slices.SortFunc(members, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(pairHash(a.DataCentre, a.Host), pairHash(b.DataCentre, b.Host)), cmp.Compare(a.Host, b.Host))
+		return cmp.Or(cmp.Compare(hashes[a.Host], hashes[b.Host]), cmp.Compare(a.Host, b.Host))
 	})
 	return members
 }
