Say goodbye to the senders before a node ends

The node had refused new work and finished all that was in progress, then closed its connections; a sender that wrote to a pooled connection at that moment couldn't know whether the call had run. Ruled out: a cut by the work's own end (the backend server's counts showed none cancelled).

Change: a node that is about to end tells every node that sent it calls; each answers once it sends none and has closed its idle connections. Callers are refused with Connection: close until none calls any more. Open long polls of a node that ends are answered at once.

--- a/backend/receiver.go
+++ b/backend/receiver.go
@@ -26,6 +26,8 @@
 	Stopping() bool
 	// CatchUp brings this node up to a team's revision from the sender, within a bounded time.
 	CatchUp(ctx context.Context, sender, team string, revision int64)
+	// HeardCall notes that another node sent a call.
+	HeardCall(sender string)
 	// Drained notes that the backend server says that it is leaving.
 	Drained()
 }
@@ -107,6 +109,7 @@
 
 // Serve answers an attempt.
 func (r *Receiver) Serve(ctx context.Context, a *jaypitch.Attempt) *jaypitch.Answer {
+	r.host.HeardCall(a.Sender)
 	var answer *jaypitch.Answer
 	if a.Repeat {
 		answer = r.repeat(ctx, a)
--- a/bench/rest.go
+++ b/bench/rest.go
@@ -5,4 +5,4 @@
 func benchScale(scenario.Binaries) error { return nil }
 func benchAdded(scenario.Binaries) error { return nil }
 func benchFlood(scenario.Binaries) error { return nil }
-func floodFairs() []byte { return []byte(fairs) }
+func floodFairs() []byte                 { return []byte(fairs) }
--- a/caller/dispatcher.go
+++ b/caller/dispatcher.go
@@ -18,6 +18,8 @@
 // Passer sends an attempt to the node at an address.
 type Passer interface {
 	Do(ctx context.Context, address string, a *jaypitch.Attempt) (*jaypitch.Answer, error)
+	// CloseIdle closes the connections that are not in use.
+	CloseIdle()
 }
 
 // Receiver takes attempts for the backend server on this host.
@@ -50,6 +52,9 @@
 	retries int64
 }
 
+// stopPoll is how often the calls to a process that is about to end are counted.
+const stopPoll = 5 * time.Millisecond
+
 // NewDispatcher makes a dispatcher. Behind is called when another host turns out to hold newer settings.
 func NewDispatcher(host string, store *settings.Store, passer Passer, local Receiver, picker *route.Picker, now func() time.Time, nonce func() uint64, behind func(host string)) *Dispatcher {
 	return &Dispatcher{host: host, store: store, passer: passer, local: local, now: now, nonce: nonce, behind: behind,
@@ -128,6 +133,30 @@
 	return d.picker.Ejected(d.now())
 }
 
+// StopCalling returns once no call is being sent to a process that is about to end, and none will be.
+func (d *Dispatcher) StopCalling(ctx context.Context, host string, process uint64) error {
+	d.mu.Lock()
+	d.picker.Stopping(host, process, d.now())
+	d.mu.Unlock()
+	t := time.NewTicker(stopPoll)
+	defer t.Stop()
+	for d.inFlight(host) > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	d.passer.CloseIdle()
+	return nil
+}
+
+func (d *Dispatcher) inFlight(host string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.picker.InFlight(host)
+}
+
 // Keep forgets hosts that are not listed any more.
 func (d *Dispatcher) Keep(t *settings.Table) {
 	d.mu.Lock()
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -51,6 +51,7 @@
 	now        func() time.Time
 	limits     Limits
 	calls      atomic.Int64
+	seen       atomic.Int64
 }
 
 // Limits bound what callers may ask for.
@@ -89,9 +90,15 @@
 	return h.calls.Load()
 }
 
+// Seen returns the number of calls that have arrived.
+func (h *Handler) Seen() int64 {
+	return h.seen.Load()
+}
+
 // ServeHTTP answers one call. The call is in progress until its answer is written.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := h.now()
+	h.seen.Add(1)
 	p := &progress{handler: h}
 	defer p.end()
 	result := h.answer(w, r, arrived, p)
@@ -234,6 +241,9 @@
 	if team := h.store.Table().Teams[teamOf(r)]; team != nil {
 		out.Set(jaypitch.HeaderVersion, strconv.FormatInt(team.Revision, 10))
 	}
+	if a.Code == jaypitch.CodeStopping {
+		out.Set("Connection", "close")
+	}
 	if a.Code != jaypitch.CodeOK {
 		if result.Token != "" {
 			out.Set(jaypitch.HeaderToken, result.Token)
--- a/node/local.go
+++ b/node/local.go
@@ -105,9 +105,39 @@
 
 // Heard notes that another node asked.
 func (n *Node) Heard(s *schema.Sender) {
+	n.hear(s.GetHost())
+}
+
+func (n *Node) hear(host string) {
 	n.heardMu.Lock()
 	defer n.heardMu.Unlock()
-	n.heard[s.GetHost()] = heard{until: n.now().Add(heardLasts)}
+	n.heard[host] = heard{until: n.now().Add(heardLasts)}
+}
+
+// HeardCall notes that another node sent a call.
+func (n *Node) HeardCall(sender string) {
+	n.sendersMu.Lock()
+	defer n.sendersMu.Unlock()
+	n.senders[sender] = n.now().Add(sendersLast)
+}
+
+// senderAddresses returns the addresses of the hosts that sent calls lately; their connections may still be open.
+func (n *Node) senderAddresses() []string {
+	t := n.store.Table()
+	n.sendersMu.Lock()
+	defer n.sendersMu.Unlock()
+	var out []string
+	for host, until := range n.senders {
+		if h := t.Host(host); h != nil && n.now().Before(until) && host != n.settings.GetNode().GetHost() {
+			out = append(out, h.Address)
+		}
+	}
+	return out
+}
+
+// StopCalling returns once no call is being sent to a process that is about to end, and none will be.
+func (n *Node) StopCalling(ctx context.Context, s *schema.Sender) error {
+	return n.dispatcher.StopCalling(ctx, s.GetHost(), s.GetProcess())
 }
 
 // Unlisted returns hosts that asked this node lately and are absent from the host list.
--- a/node/node.go
+++ b/node/node.go
@@ -62,6 +62,9 @@
 	heardMu sync.Mutex
 	heard   map[string]heard
 
+	sendersMu sync.Mutex
+	senders   map[string]time.Time
+
 	wg sync.WaitGroup
 }
 
@@ -73,6 +76,11 @@
 const (
 	// heardLasts is how long a node that asked is remembered.
 	heardLasts = time.Minute
+	// sendersLast is how long a connection for calls may stay open without a call.
+	sendersLast = 2 * time.Minute
+	// lingerStep and lingerMax bound the time in which a node that ends still refuses callers: until none has called for a step.
+	lingerStep = 300 * time.Millisecond
+	lingerMax  = 3 * time.Second
 	// catchUpWait bounds the wait for settings of a sender that is ahead.
 	catchUpWait = 200 * time.Millisecond
 	// shutdownWait bounds the closing of listeners after the last call ended.
@@ -84,7 +92,7 @@
 // New makes a node from checked settings.
 func New(s *schema.NodeSettings, log *zap.Logger) *Node {
 	n := &Node{settings: s, process: rand.Uint64(), log: log, now: time.Now, started: time.Now(), tracker: evidence.NewTracker(),
-		traffic: &peer.Traffic{}, burn: burn.NewCounter(), heard: map[string]heard{}, metrics: operator.NewMetrics()}
+		traffic: &peer.Traffic{}, burn: burn.NewCounter(), heard: map[string]heard{}, senders: map[string]time.Time{}, metrics: operator.NewMetrics()}
 	n.store = settings.NewStore(n.now)
 	n.lifecycle = newLifecycle(n.onStopReason)
 	n.trust = newTrust(n.now, micros(s.GetPeer().GetConfirmUs()))
@@ -104,11 +112,13 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	n.startLoops(work)
-	servers := n.serve(listeners)
+	servers := n.serve(work, listeners)
 	n.log.Info("started", zap.String("host", n.settings.GetNode().GetHost()), zap.Uint64("process", n.process))
 	<-ctx.Done()
 	n.lifecycle.set(StopSignal, true)
+	n.peers.SayLeave(work, n.senderAddresses())
 	<-n.lifecycle.quiet
+	n.linger()
 	n.log.Info("nothing in progress")
 	cancel()
 	shutdown(servers)
@@ -116,6 +126,19 @@
 	return nil
 }
 
+// linger goes on refusing callers until none has called for a while, so that few connections are closed under a call.
+func (n *Node) linger() {
+	deadline := n.now().Add(lingerMax)
+	for seen := n.handler.Seen(); n.now().Before(deadline); {
+		time.Sleep(lingerStep)
+		now := n.handler.Seen()
+		if now == seen {
+			return
+		}
+		seen = now
+	}
+}
+
 func (n *Node) makeCallSide() {
 	s := n.settings
 	b := s.GetBackend()
@@ -183,7 +206,7 @@
 	_ = l.server.Serve(l.listener)
 }
 
-func (n *Node) serve(l *listeners) []*http.Server {
+func (n *Node) serve(ctx context.Context, l *listeners) []*http.Server {
 	control := http.NewServeMux()
 	control.Handle(schemaconnect.NewPeerHandler(n.peers, peer.HandlerOptions()...))
 	control.Handle(peer.CallPath+"/", n.calls)
@@ -194,6 +217,7 @@
 		newServer(operator.NewHandler(n, n.metrics), peerIdleTimeout),
 	}
 	limited := []net.Listener{limit(l.caller, s.GetMaxCalls()), peer.Count(l.peer, n.traffic), limit(l.operator, maxOperatorConns)}
+	servers[1].BaseContext = func(net.Listener) context.Context { return ctx }
 	for i, server := range servers {
 		r := &listenerServer{server: server, listener: limited[i], wg: &n.wg}
 		n.wg.Add(1)
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -84,6 +84,11 @@
 	return err
 }
 
+// CloseIdle closes the connections that are not in use.
+func (c *CallClient) CloseIdle() {
+	c.client.CloseIdle()
+}
+
 func (c *CallClient) headerOf(a *jaypitch.Attempt) http.Header {
 	h := CleanHeader(a.Header)
 	h.Set(jaypitch.HeaderTeam, a.Team)
--- a/peer/server.go
+++ b/peer/server.go
@@ -28,6 +28,8 @@
 	Unlisted() []*schema.Target
 	// BurnCounts returns the service-level counts of this host.
 	BurnCounts() []burn.Count
+	// StopCalling returns once no call is being sent to a process that is about to end, and none will be.
+	StopCalling(ctx context.Context, s *schema.Sender) error
 	// Heard notes that another node asked.
 	Heard(s *schema.Sender)
 }
@@ -50,6 +52,8 @@
 	wholeBurstBytes     = 16 << 20
 	maxWait             = time.Minute
 	maxItems            = 4096
+	// leaveWait bounds the wait for the calls that are being sent to a process that is about to end.
+	leaveWait = 2 * time.Second
 )
 
 var _ schemaconnect.PeerHandler = (*Server)(nil)
@@ -116,6 +120,41 @@
 	return connect.NewResponse(s.GatherBurn(ctx, r.Msg)), nil
 }
 
+// Leave promises that no further call is sent to a process that is about to end.
+func (s *Server) Leave(ctx context.Context, r *connect.Request[schema.LeaveRequest]) (*connect.Response[schema.LeaveResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	defer cancel()
+	if err := s.local.StopCalling(ctx, r.Msg.GetSender()); err != nil {
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
+	}
+	return connect.NewResponse(&schema.LeaveResponse{}), nil
+}
+
+// SayLeave tells the nodes at the addresses that this process is about to end, and waits for their promises.
+func (s *Server) SayLeave(ctx context.Context, addresses []string) {
+	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, a := range addresses {
+		l := &leaver{client: s.clients.To(a), sender: s.local.Sender(), wg: &wg}
+		wg.Add(1)
+		go l.run(ctx)
+	}
+	wg.Wait()
+}
+
+// leaver tells one node that this process is about to end.
+type leaver struct {
+	client schemaconnect.PeerClient
+	sender *schema.Sender
+	wg     *sync.WaitGroup
+}
+
+func (l *leaver) run(ctx context.Context) {
+	defer l.wg.Done()
+	_, _ = l.client.Leave(ctx, connect.NewRequest(&schema.LeaveRequest{Sender: l.sender}))
+}
+
 // await blocks until the store changes after the cursor, the wait ends or the asker leaves. An asker that isn't
 // confirmed is answered as soon as this node is, so that confirmation runs down the tree without a wait.
 func (s *Server) await(ctx context.Context, r *schema.PollRequest, wait time.Duration) {
--- a/route/picker.go
+++ b/route/picker.go
@@ -130,6 +130,21 @@
 	}
 }
 
+// Stopping notes that a process of a host is about to end.
+func (p *Picker) Stopping(host string, process uint64, now time.Time) {
+	e := p.peer(host, now)
+	e.process = process
+	e.stopping, e.stoppingTo = process, now.Add(stoppingLasts)
+}
+
+// InFlight returns the number of calls to a host.
+func (p *Picker) InFlight(host string) int {
+	if e := p.peers[host]; e != nil {
+		return e.inFlight
+	}
+	return 0
+}
+
 // Cancel notes that a call ended without telling anything of the host.
 func (p *Picker) Cancel(host string, now time.Time) {
 	p.peer(host, now).inFlight--
--- a/schema/schemaconnect/peer.connect.go
+++ b/schema/schemaconnect/peer.connect.go
@@ -44,6 +44,8 @@
 	PeerEvidenceProcedure = "/jaypitch.v1.Peer/Evidence"
 	// PeerBurnProcedure is the fully-qualified name of the Peer's Burn RPC.
 	PeerBurnProcedure = "/jaypitch.v1.Peer/Burn"
+	// PeerLeaveProcedure is the fully-qualified name of the Peer's Leave RPC.
+	PeerLeaveProcedure = "/jaypitch.v1.Peer/Leave"
 )
 
 // PeerClient is a client for the jaypitch.v1.Peer service.
@@ -58,6 +60,9 @@
 	Evidence(context.Context, *connect.Request[schema.EvidenceRequest]) (*connect.Response[schema.EvidenceResponse], error)
 	// Burn gathers the service-level counts of every host of a scope.
 	Burn(context.Context, *connect.Request[schema.BurnRequest]) (*connect.Response[schema.BurnResponse], error)
+	// Leave says that the asking process is about to end. The answer promises that no further call
+	// is sent to it.
+	Leave(context.Context, *connect.Request[schema.LeaveRequest]) (*connect.Response[schema.LeaveResponse], error)
 }
 
 // NewPeerClient constructs a client for the jaypitch.v1.Peer service. By default, it uses the
@@ -101,6 +106,12 @@
 			connect.WithSchema(peerMethods.ByName("Burn")),
 			connect.WithClientOptions(opts...),
 		),
+		leave: connect.NewClient[schema.LeaveRequest, schema.LeaveResponse](
+			httpClient,
+			baseURL+PeerLeaveProcedure,
+			connect.WithSchema(peerMethods.ByName("Leave")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -111,6 +122,7 @@
 	exchange *connect.Client[schema.ExchangeRequest, schema.ExchangeResponse]
 	evidence *connect.Client[schema.EvidenceRequest, schema.EvidenceResponse]
 	burn     *connect.Client[schema.BurnRequest, schema.BurnResponse]
+	leave    *connect.Client[schema.LeaveRequest, schema.LeaveResponse]
 }
 
 // Poll calls jaypitch.v1.Peer.Poll.
@@ -138,6 +150,11 @@
 	return c.burn.CallUnary(ctx, req)
 }
 
+// Leave calls jaypitch.v1.Peer.Leave.
+func (c *peerClient) Leave(ctx context.Context, req *connect.Request[schema.LeaveRequest]) (*connect.Response[schema.LeaveResponse], error) {
+	return c.leave.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the jaypitch.v1.Peer service.
 type PeerHandler interface {
 	// Poll waits until the peer holds something newer than the cursor.
@@ -150,6 +167,9 @@
 	Evidence(context.Context, *connect.Request[schema.EvidenceRequest]) (*connect.Response[schema.EvidenceResponse], error)
 	// Burn gathers the service-level counts of every host of a scope.
 	Burn(context.Context, *connect.Request[schema.BurnRequest]) (*connect.Response[schema.BurnResponse], error)
+	// Leave says that the asking process is about to end. The answer promises that no further call
+	// is sent to it.
+	Leave(context.Context, *connect.Request[schema.LeaveRequest]) (*connect.Response[schema.LeaveResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -189,6 +209,12 @@
 		connect.WithSchema(peerMethods.ByName("Burn")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerLeaveHandler := connect.NewUnaryHandler(
+		PeerLeaveProcedure,
+		svc.Leave,
+		connect.WithSchema(peerMethods.ByName("Leave")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/jaypitch.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerPollProcedure:
@@ -201,6 +227,8 @@
 			peerEvidenceHandler.ServeHTTP(w, r)
 		case PeerBurnProcedure:
 			peerBurnHandler.ServeHTTP(w, r)
+		case PeerLeaveProcedure:
+			peerLeaveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -229,3 +257,7 @@
 func (UnimplementedPeerHandler) Burn(context.Context, *connect.Request[schema.BurnRequest]) (*connect.Response[schema.BurnResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jaypitch.v1.Peer.Burn is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Leave(context.Context, *connect.Request[schema.LeaveRequest]) (*connect.Response[schema.LeaveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jaypitch.v1.Peer.Leave is not implemented"))
+}
