--- a/backend/receiver.go
+++ b/backend/receiver.go
@@ -34,15 +34,16 @@
 
 // Receiver takes attempts in and passes them to the backend server. It is safe for concurrent use.
 type Receiver struct {
-	host    Host
-	name    string
-	service string
-	process uint64
-	store   *settings.Store
-	tracker *evidence.Tracker
-	server  jaypitch.Server
-	now     func() time.Time
-	gate    *gate
+	host       Host
+	name       string
+	dataCentre string
+	service    string
+	process    uint64
+	store      *settings.Store
+	tracker    *evidence.Tracker
+	server     jaypitch.Server
+	now        func() time.Time
+	gate       *gate
 
 	mu      sync.Mutex
 	answers *once.Answers
@@ -51,10 +52,11 @@
 
 // Options are the sizes and the identity of a receiver.
 type Options struct {
-	Host    string
-	Service string
-	Process uint64
-	Slots   int
+	Host       string
+	DataCentre string
+	Service    string
+	Process    uint64
+	Slots      int
 	// KeptAnswers is the number of kept answers; each is kept until KeptFor has passed.
 	KeptAnswers int
 	KeptFor     time.Duration
@@ -74,7 +76,7 @@
 
 // NewReceiver makes the receiving side of a node.
 func NewReceiver(host Host, store *settings.Store, tracker *evidence.Tracker, server jaypitch.Server, now func() time.Time, o Options) *Receiver {
-	return &Receiver{host: host, name: o.Host, service: o.Service, process: o.Process, store: store, tracker: tracker, server: server, now: now,
+	return &Receiver{host: host, name: o.Host, dataCentre: o.DataCentre, service: o.Service, process: o.Process, store: store, tracker: tracker, server: server, now: now,
 		gate:    &gate{now: now, admission: admit.NewAdmission(o.Slots)},
 		answers: once.NewAnswers(o.Host, o.Process, now(), o.KeptFor, o.KeptAnswers)}
 }
@@ -233,7 +235,7 @@
 	if rt.Service.Name != r.service {
 		return nil, jaypitch.Errorf(jaypitch.CodeNotThisHost, "route %q goes to service %q; this host has %q", a.Route, rt.Service.Name, r.service)
 	}
-	if h := t.Host(r.name); h != nil && h.Leaving {
+	if h := t.HostIn(r.dataCentre, r.name); h != nil && h.Leaving {
 		return nil, jaypitch.Errorf(jaypitch.CodeStopping, "the host list says that this host is leaving")
 	}
 	return rt, nil
--- a/caller/dispatcher.go
+++ b/caller/dispatcher.go
@@ -34,6 +34,9 @@
 	Token    string
 	Attempts int
 	Route    *settings.Route
+
+	// unsure is the answer of an earlier attempt that may have run.
+	unsure *jaypitch.Answer
 }
 
 // Dispatcher makes the attempts of calls. It is safe for concurrent use.
@@ -81,7 +84,10 @@
 			result.Token = a.Token
 		}
 		if ctx.Err() != nil || !d.again(p, result.Answer.Code) {
-			return result
+			return result.settle()
+		}
+		if result.Answer.Code.Info().Ran != jaypitch.NotRun {
+			result.unsure = result.Answer
 		}
 		if result.Answer.Code != jaypitch.CodeOtherProcess {
 			tried = append(tried, choice.Host.Name)
@@ -169,6 +175,14 @@
 	if r.Answer == nil {
 		r.Answer = jaypitch.Refuse(e)
 	}
+	return r.settle()
+}
+
+// settle keeps a last attempt that did not run from hiding an earlier one that may have.
+func (r *Result) settle() *Result {
+	if r.unsure != nil && r.Answer.Code.Info().Ran == jaypitch.NotRun {
+		r.Answer = r.unsure
+	}
 	return r
 }
 
--- a/node/loops.go
+++ b/node/loops.go
@@ -77,7 +77,7 @@
 		n.dispatcher.Keep(t)
 	}
 	n.receiver.Configure(t)
-	own := t.Host(n.settings.GetNode().GetHost())
+	own := t.HostIn(n.settings.GetNode().GetDataCentre(), n.settings.GetNode().GetHost())
 	n.lifecycle.set(StopHostList, own == nil && n.ownSeen || own != nil && own.Leaving)
 	n.ownSeen = n.ownSeen || own != nil
 	n.metrics.Applied(n.now().Sub(started))
--- a/node/node.go
+++ b/node/node.go
@@ -95,7 +95,7 @@
 		traffic: &peer.Traffic{}, burn: burn.NewCounter(), heard: map[string]heard{}, senders: map[string]time.Time{}, metrics: operator.NewMetrics()}
 	n.store = settings.NewStore(n.now)
 	n.lifecycle = newLifecycle(n.onStopReason)
-	n.trust = newTrust(n.now, micros(s.GetPeer().GetConfirmUs()))
+	n.trust = newTrust(n.now, micros(s.GetPeer().GetConfirmUs()), s.GetPeer().GetServeUnconfirmed())
 	n.setTopology(n.store.Table())
 	n.makeCallSide()
 	n.makeControlSide()
@@ -144,7 +144,7 @@
 	b := s.GetBackend()
 	n.server = backend.NewHTTPServer(b.GetAddress(), b.GetHealthPath(), int(b.GetConnections()), n.now)
 	n.receiver = backend.NewReceiver(n, n.store, n.tracker, n.server, n.now, backend.Options{
-		Host: s.GetNode().GetHost(), Service: s.GetNode().GetService(), Process: n.process, Slots: int(b.GetSlots()),
+		Host: s.GetNode().GetHost(), DataCentre: s.GetNode().GetDataCentre(), Service: s.GetNode().GetService(), Process: n.process, Slots: int(b.GetSlots()),
 		KeptAnswers: int(b.GetKeptAnswers()), KeptFor: micros(b.GetKeptUs())})
 	picker := route.NewPicker(s.GetNode().GetDataCentre(), rand.IntN)
 	n.dispatcher = caller.NewDispatcher(s.GetNode().GetHost(), n.store, peer.NewCallClient(n.now), n.receiver, picker, n.now, rand.Uint64, n.askAhead)
--- a/node/trust.go
+++ b/node/trust.go
@@ -32,9 +32,9 @@
 // readyWait bounds the wait of a call for a decision.
 const readyWait = 1500 * time.Millisecond
 
-func newTrust(now func() time.Time, giveUp time.Duration) *trust {
+func newTrust(now func() time.Time, giveUp time.Duration, serveUnconfirmed bool) *trust {
 	at := now()
-	return &trust{now: now, start: at, decision: spread.NewConfirmation(at.Add(giveUp), at), changed: make(chan struct{})}
+	return &trust{now: now, start: at, decision: spread.NewConfirmation(at.Add(giveUp), at, serveUnconfirmed), changed: make(chan struct{})}
 }
 
 // tick returns true if the process seems to have been paused.
@@ -50,7 +50,7 @@
 func (t *trust) peer(host string, confirmed bool, sourceAge time.Duration, others int, askedAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.decision.Peer(host, confirmed, others, askedAt)
+	t.decision.Peer(host, confirmed, others, askedAt, t.now())
 	if at := t.now().Add(-sourceAge); sourceAge >= 0 && at.After(t.sourceAt) {
 		t.sourceAt = at
 	}
@@ -61,7 +61,7 @@
 func (t *trust) source(others int, askedAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.decision.Source(others, askedAt)
+	t.decision.Source(others, askedAt, t.now())
 	t.sourceAt = t.now()
 	t.update()
 }
--- /dev/null
+++ b/once/main_test.go
@@ -0,0 +1,14 @@
+package once
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of drawn cases; -rapid.seed on the command line goes before it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -66,6 +66,8 @@
 	Fanout   int
 	Readers  int
 	Parents  int
+	// ServeUnconfirmed is "true" for fleets whose nodes poll too few peers to be confirmed.
+	ServeUnconfirmed string
 	// SourceCalls is the fleet's share of the source's call rate; zero is the default.
 	SourceCalls int
 	// SharedBackend runs one backend server for the whole fleet.
@@ -308,7 +310,7 @@
 func (h *Host) settings() string {
 	o := h.fleet.options
 	peer, platform := "", ""
-	for _, kv := range [][2]string{{"poll", o.PollWait}, {"repair", o.Repair}, {"fanout", number(o.Fanout)}, {"readers", number(o.Readers)}, {"parents", number(o.Parents)}} {
+	for _, kv := range [][2]string{{"poll", o.PollWait}, {"repair", o.Repair}, {"fanout", number(o.Fanout)}, {"readers", number(o.Readers)}, {"parents", number(o.Parents)}, {"serve_unconfirmed", o.ServeUnconfirmed}} {
 		if kv[1] != "" {
 			peer += fmt.Sprintf("%s = %s\n", kv[0], kv[1])
 		}
--- a/settings/state.go
+++ b/settings/state.go
@@ -102,6 +102,7 @@
 	if e == nil {
 		e = &Entry{Document: jaypitch.Document{Key: key}}
 		s.entries[key] = e
+		s.digest ^= e.hash()
 	}
 	if r.Revision <= e.Document.Revision || e.Refused != nil && r.Revision <= e.Refused.Revision {
 		return false
--- a/settings/table.go
+++ b/settings/table.go
@@ -84,7 +84,23 @@
 	return t
 }
 
-// Host returns a listed host, or nil; of two lists that name one host the first by data centre counts.
+// Holds says whether a host stands in the list of its data centre as it is.
+func (t *Table) Holds(h *Host) bool {
+	c := t.Centres[h.DataCentre]
+	return c != nil && c.Hosts[h.Name] == h
+}
+
+// HostIn returns a host of the list of a data centre, or nil.
+func (t *Table) HostIn(dataCentre, name string) *Host {
+	c := t.Centres[dataCentre]
+	if c == nil {
+		return nil
+	}
+	return c.Hosts[name]
+}
+
+// Host returns a listed host, or nil. Of two lists that name one host the first by data centre is taken; a
+// node judges itself by the list of its own data centre alone.
 func (t *Table) Host(name string) *Host {
 	var found *Host
 	for _, c := range t.Centres {
--- a/spread/confirm.go
+++ b/spread/confirm.go
@@ -10,10 +10,13 @@
 	giveUpAt  time.Time
 	freshTo   time.Time
 	// since is the start or the last wake; answers to earlier questions prove nothing.
-	since    time.Time
-	source   bool
-	answered map[string]bool
-	agreeing map[string]bool
+	since  time.Time
+	source bool
+	others int
+	// unconfirmed allows a process to serve after its start without any confirmation.
+	unconfirmed bool
+	answered    map[string]bool
+	agreeing    map[string]bool
 }
 
 const (
@@ -25,9 +28,11 @@
 	wakeWait = time.Second
 )
 
-// NewConfirmation starts unconfirmed and gives up waiting at the deadline.
-func NewConfirmation(giveUpAt, now time.Time) *Confirmation {
-	c := &Confirmation{giveUpAt: giveUpAt, freshTo: now.Add(maxTickGap)}
+// NewConfirmation starts unconfirmed. After the deadline fewer peers are enough. A process that knows nothing
+// from before must not serve what only an old source may have told it, so it goes on waiting for a peer, unless
+// serveUnconfirmed is set.
+func NewConfirmation(giveUpAt, now time.Time, serveUnconfirmed bool) *Confirmation {
+	c := &Confirmation{giveUpAt: giveUpAt, freshTo: now.Add(maxTickGap), unconfirmed: serveUnconfirmed}
 	c.forget(now)
 	return c
 }
@@ -41,20 +46,22 @@
 		c.forget(now)
 	}
 	c.freshTo = now.Add(maxTickGap)
+	c.decide(now)
 	return late
 }
 
-// Source notes that the source told all that it holds, and that it was merged.
-func (c *Confirmation) Source(others int, askedAt time.Time) {
+// Source notes that the source told all that it holds, and that it was merged. Others is the number of other hosts listed.
+func (c *Confirmation) Source(others int, askedAt, now time.Time) {
 	if askedAt.Before(c.since) {
 		return
 	}
 	c.source = true
-	c.decide(others)
+	c.others = others
+	c.decide(now)
 }
 
 // Peer notes that a peer told all that it holds, and that it was merged.
-func (c *Confirmation) Peer(host string, confirmed bool, others int, askedAt time.Time) {
+func (c *Confirmation) Peer(host string, confirmed bool, others int, askedAt, now time.Time) {
 	if askedAt.Before(c.since) {
 		return
 	}
@@ -62,7 +69,8 @@
 	if confirmed {
 		c.agreeing[host] = true
 	}
-	c.decide(others)
+	c.others = others
+	c.decide(now)
 }
 
 // Confirmed says whether the state is confirmed.
@@ -70,12 +78,13 @@
 	return c.confirmed
 }
 
-// Ready says whether the process may take work: it is confirmed, or the wait has ended; and it has not been paused since.
+// Ready says whether the process may take work: it is confirmed, or it was before a pause and the wait has
+// ended; and it has not been paused since.
 func (c *Confirmation) Ready(now time.Time) bool {
 	if now.After(c.freshTo) {
 		return false
 	}
-	return c.confirmed || !now.Before(c.giveUpAt)
+	return c.confirmed || !now.Before(c.giveUpAt) && (c.started || c.unconfirmed)
 }
 
 // FreshTo returns until when the last tick holds.
@@ -83,13 +92,16 @@
 	return c.freshTo
 }
 
-// decide confirms when enough confirmed peers answered, or the source and enough peers of any kind.
-func (c *Confirmation) decide(others int) {
-	wanted := min(wantedPeers, others)
-	if c.started {
-		wanted = min(1, others)
+// decide confirms when enough confirmed peers answered; or the source and one of them; or the source and
+// enough peers of any kind, as when a whole fleet starts.
+func (c *Confirmation) decide(now time.Time) {
+	wanted := min(wantedPeers, c.others)
+	if c.started || !now.Before(c.giveUpAt) {
+		wanted = min(1, c.others)
 	}
-	if len(c.agreeing) >= wanted && (wanted > 0 || c.source) || c.source && len(c.answered) >= wanted {
+	peers := len(c.agreeing) >= max(1, wanted)
+	both := c.source && (len(c.agreeing) > 0 || len(c.answered) >= wanted)
+	if peers || both {
 		c.confirmed = true
 		c.started = true
 	}
--- /dev/null
+++ b/spread/topology_test.go
@@ -0,0 +1,250 @@
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jaypitch/jaypitch/settings"
+)
+
+// lists makes host lists of a number of data centres with as many hosts each.
+func lists(centres, hosts int) map[string]*settings.Centre {
+	out := map[string]*settings.Centre{}
+	for c := range centres {
+		name := fmt.Sprintf("dc%d", c)
+		l := &settings.Centre{Name: name, Hosts: map[string]*settings.Host{}}
+		for h := range hosts {
+			host := fmt.Sprintf("%s_h%d", name, h)
+			l.Hosts[host] = &settings.Host{Name: host, DataCentre: name, Address: host + ":1"}
+		}
+		out[name] = l
+	}
+	return out
+}
+
+// everyTopology returns the topology of every host.
+func everyTopology(l map[string]*settings.Centre) map[string]*Topology {
+	out := map[string]*Topology{}
+	for centre, c := range l {
+		var before *Topology
+		for host := range c.Hosts {
+			before = NewTopology(Member{Host: host, DataCentre: centre, Address: host + ":1"}, l, 8, 3, before)
+			out[host] = before
+		}
+	}
+	return out
+}
+
+func nobody(string) bool { return false }
+
+func TestReaders(t *testing.T) {
+	t.Run("a few in each data centre", func(t *testing.T) {
+		is := is.New(t)
+		readers := map[string]int{}
+		for _, p := range everyTopology(lists(3, 50)) {
+			if p.Reader(nobody) {
+				readers[p.Self.DataCentre]++
+			}
+		}
+		is.Equal(readers, map[string]int{"dc0": 3, "dc1": 3, "dc2": 3})
+	})
+	t.Run("the next ones take over for suspected ones", func(t *testing.T) {
+		is := is.New(t)
+		all := everyTopology(lists(1, 20))
+		suspect := func(host string) bool { return all[host].Position < 2 }
+		for _, p := range all {
+			is.Equal(p.Reader(suspect), p.Position < 5)
+		}
+	})
+	t.Run("budgets add up to the fleet's share, whoever suspects whom", func(t *testing.T) {
+		for _, size := range []int{1, 10, 1000} {
+			is := is.New(t)
+			sum := 0.0
+			for _, p := range everyTopology(lists(4, size)) {
+				sum += p.Budget(1000)
+			}
+			is.True(sum <= 1000)
+		}
+	})
+}
+
+// reach returns how many hops a change that readers hold takes to each live host of one data centre; a host that
+// isn't reached is absent.
+func reach(all map[string]*Topology, dead map[string]bool) map[string]int {
+	hops := map[string]int{}
+	for host, p := range all {
+		if p.Position < 3 && !dead[host] {
+			hops[host] = 0
+		}
+	}
+	for round := 1; ; round++ {
+		before := len(hops)
+		for host, p := range all {
+			if _, ok := hops[host]; ok || dead[host] {
+				continue
+			}
+			links := 0
+			for _, m := range p.Parents() {
+				if dead[m.Host] || links == 2 {
+					continue
+				}
+				links++
+				if h, ok := hops[m.Host]; ok && h < round {
+					hops[host] = round
+				}
+			}
+		}
+		if len(hops) == before {
+			return hops
+		}
+	}
+}
+
+func TestTree(t *testing.T) {
+	all := everyTopology(lists(1, 2000))
+	t.Run("parents stand before their children", func(t *testing.T) {
+		is := is.New(t)
+		for _, p := range all {
+			if p.Position < 3 {
+				continue
+			}
+			parents := p.Parents()
+			is.True(len(parents) >= 2)
+			for _, m := range parents {
+				is.True(all[m.Host].Position < p.Position)
+			}
+		}
+	})
+	t.Run("reaches 2,000 hosts in four hops", func(t *testing.T) {
+		is := is.New(t)
+		hops := reach(all, nil)
+		is.Equal(len(hops), 2000)
+		for _, n := range hops {
+			is.True(n <= 4)
+		}
+	})
+	t.Run("bears at most twice the fan-out on one host", func(t *testing.T) {
+		is := is.New(t)
+		children := map[string]int{}
+		for _, p := range all {
+			if p.Position < 3 {
+				continue
+			}
+			for _, m := range p.Parents()[:2] {
+				children[m.Host]++
+			}
+		}
+		for _, n := range children {
+			is.True(n <= 16)
+		}
+	})
+	t.Run("reaches all live hosts when a tenth is dead", func(t *testing.T) {
+		is := is.New(t)
+		r := rand.New(rand.NewPCG(1, 2))
+		dead := map[string]bool{}
+		for host, p := range all {
+			if p.Position >= 3 && r.IntN(10) == 0 {
+				dead[host] = true
+			}
+		}
+		is.Equal(len(reach(all, dead)), 2000-len(dead))
+	})
+	t.Run("an unlisted host has parents and doesn't read", func(t *testing.T) {
+		is := is.New(t)
+		p := NewTopology(Member{Host: "new", DataCentre: "dc0"}, lists(2, 30), 8, 3, nil)
+		is.True(!p.Listed)
+		is.True(len(p.Parents()) > 0)
+		is.Equal(p.Others(), 60)
+	})
+	t.Run("readers poll the next data centres in a ring", func(t *testing.T) {
+		is := is.New(t)
+		for _, p := range everyTopology(lists(5, 4)) {
+			if p.Position >= 3 {
+				continue
+			}
+			var own, first int
+			_, _ = fmt.Sscanf(p.Self.DataCentre, "dc%d", &own)
+			_, _ = fmt.Sscanf(p.Parents()[0].DataCentre, "dc%d", &first)
+			is.Equal(first, (own+1)%5)
+		}
+	})
+}
+
+func TestSuspects(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := NewSuspects()
+	s.Fail("a", now)
+	is.True(s.Suspect("a", now))
+	is.True(!s.Suspect("a", now.Add(minSuspicion)))
+	for range 20 {
+		s.Fail("a", now)
+	}
+	is.True(s.Suspect("a", now.Add(maxSuspicion-1)))
+	is.True(!s.Suspect("a", now.Add(maxSuspicion)))
+	s.Answer("a")
+	is.True(!s.Suspect("a", now))
+}
+
+// confirmEvent is one event of a confirmation, at a time in milliseconds.
+type confirmEvent struct {
+	at   int
+	what string
+	// asked is when the answered question was asked.
+	asked int
+}
+
+func TestConfirmation(t *testing.T) {
+	cases := []struct {
+		name             string
+		others           int
+		events           []confirmEvent
+		confirmed, ready bool
+	}{
+		{"source and one confirmed peer", 5, []confirmEvent{{100, "source", 0}, {200, "yes a", 0}}, true, true},
+		{"one confirmed peer, after the wait", 5, []confirmEvent{{100, "yes a", 0}, {1000, "tick", 0}, {2000, "tick", 0}, {3000, "tick", 0}, {4000, "tick", 0}, {5000, "tick", 0}}, true, true},
+		{"source alone, after the wait", 5, []confirmEvent{{100, "source", 0}, {1000, "tick", 0}, {2000, "tick", 0}, {3000, "tick", 0}, {4000, "tick", 0}, {5000, "tick", 0}}, false, false},
+		{"nothing heard", 5, []confirmEvent{{100, "tick", 0}}, false, false},
+		{"one confirmed peer", 5, []confirmEvent{{100, "yes a", 0}}, false, false},
+		{"one peer twice", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes a", 0}}, false, false},
+		{"two confirmed peers", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}}, true, true},
+		{"the only other host", 1, []confirmEvent{{100, "yes a", 0}}, true, true},
+		{"source alone, peers listed", 5, []confirmEvent{{100, "source", 0}}, false, false},
+		{"source alone, no other host", 0, []confirmEvent{{100, "source", 0}}, true, true},
+		{"source and two unconfirmed peers", 5, []confirmEvent{{100, "source", 0}, {200, "no a", 0}, {300, "no b", 0}}, true, true},
+		{"two unconfirmed peers", 5, []confirmEvent{{100, "no a", 0}, {200, "no b", 0}}, false, false},
+		{"nothing heard, after the wait", 5, []confirmEvent{{1000, "tick", 0}, {2000, "tick", 0}, {3000, "tick", 0}, {4000, "tick", 0}, {5000, "tick", 0}}, false, false},
+		{"paused", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}, {9000, "tick", 0}}, false, false},
+		{"paused, not ticked yet", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}, {9000, "look", 0}}, true, false},
+		{"paused, an answer from before", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}, {9000, "tick", 0}, {9001, "yes a", 300}}, false, false},
+		{"paused and asked", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}, {9000, "tick", 0}, {9010, "yes a", 9001}}, true, true},
+		{"paused, bounded wait", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}, {9000, "tick", 0}, {10001, "tick", 0}}, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			start := time.Unix(0, 0)
+			at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+			d := NewConfirmation(at(5000), start, false)
+			now := 0
+			for _, e := range c.events {
+				now = e.at
+				switch e.what {
+				case "tick":
+					d.Tick(at(e.at))
+				case "source":
+					d.Source(c.others, at(e.asked), at(e.at))
+				case "look":
+				default:
+					d.Peer(e.what[len(e.what)-1:], e.what[:3] == "yes", c.others, at(e.asked), at(e.at))
+				}
+			}
+			is.Equal(d.Confirmed(), c.confirmed)
+			is.Equal(d.Ready(at(now)), c.ready)
+		})
+	}
+}
