Contract tests of the platform, of the peers, of settings and of evidence

Cause: each interface needs a contract that its implementations and its fakes are held to.

Found: a watch of the stand-in that ended at its deadline could tell a revision whose change it had not told; the change would have been lost to the reader. The contract now covers it.

--- /dev/null
+++ b/evidence/evidence_test.go
@@ -0,0 +1,106 @@
+package evidence
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/schema"
+)
+
+func targets(n int) []*schema.Target {
+	var out []*schema.Target
+	for i := range n {
+		out = append(out, &schema.Target{Host: fmt.Sprintf("h%d", i)})
+	}
+	return out
+}
+
+func finding(i int, revision int64) Finding {
+	return Finding{Host: fmt.Sprintf("h%d", i), Revision: revision, Digest: []byte("digest"), Confirmed: true, LastCallUS: -1}
+}
+
+// TestJudge gathers from five hosts of which one differs.
+func TestJudge(t *testing.T) {
+	cases := []struct {
+		name    string
+		last    func(f *Fold)
+		verdict Verdict
+		status  int
+		code    jaypitch.Code
+	}{
+		{"all hold it", func(f *Fold) { f.Add(finding(4, 2)) }, Gone, 0, 0},
+		{"one enforces it", func(f *Fold) { n := finding(4, 1); n.Enforced = true; f.Add(n) }, Present, 1, jaypitch.CodeHostServing},
+		{"one is silent", func(f *Fold) { f.Silent("h4", "no answer") }, NotProven, 2, jaypitch.CodeHostSilent},
+		{"one was forgotten", func(*Fold) {}, NotProven, 2, jaypitch.CodeHostSilent},
+		{"one holds an older version", func(f *Fold) { f.Add(finding(4, 1)) }, NotProven, 2, jaypitch.CodeHostOlder},
+		{"one isn't confirmed", func(f *Fold) { n := finding(4, 2); n.Confirmed = false; f.Add(n) }, NotProven, 2, jaypitch.CodeHostUnsure},
+		{"one has calls in progress", func(f *Fold) { n := finding(4, 2); n.InFlight = 3; f.Add(n) }, NotProven, 2, jaypitch.CodeHostServing},
+		{"one more was seen", func(f *Fold) { f.Add(finding(4, 2)); f.Unlisted(&schema.Target{Host: "x"}) }, NotProven, 2, jaypitch.CodeUnlisted},
+		{"a listed one was seen", func(f *Fold) { f.Add(finding(4, 2)); f.Unlisted(&schema.Target{Host: "h1"}) }, Gone, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			all := targets(5)
+			f := NewFold(all)
+			for i := range 4 {
+				f.Add(finding(i, 2))
+			}
+			c.last(f)
+			// The same through a relay that folded for all.
+			relayed := NewFold(all)
+			relayed.Merge(all, f.Response())
+			for _, r := range []*schema.EvidenceResponse{f.Response(), relayed.Response()} {
+				report := Judge(&schema.Subject{Team: "t", Route: "r"}, all, r)
+				is.Equal(report.Verdict, c.verdict)
+				is.Equal(report.Verdict.ExitStatus(), c.status)
+				if c.code == 0 {
+					is.Equal(len(report.Exceptions), 0)
+				} else {
+					is.Equal(report.Exceptions[0].Code, c.code)
+				}
+			}
+		})
+	}
+	t.Run("no host at all proves nothing", func(t *testing.T) {
+		is.New(t).Equal(Judge(&schema.Subject{}, nil, &schema.EvidenceResponse{}).Verdict, NotProven)
+	})
+}
+
+func TestFoldIsSmall(t *testing.T) {
+	is := is.New(t)
+	all := targets(22000)
+	f := NewFold(all)
+	for i := range all {
+		f.Add(finding(i, 2))
+	}
+	r := f.Response()
+	is.Equal(len(r.GetGroups()), 1)
+	is.Equal(Count(r.GetGroups()[0]), 22000)
+	is.Equal(len(r.GetGroups()[0].GetHosts()), 2750)
+}
+
+func TestTracker(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(5, 0)
+	tr := NewTracker()
+	a, b := CallKey{"t", "r", "hill"}, CallKey{"t", "r", "meadow"}
+	tr.Begin(a)
+	tr.Begin(b)
+	tr.Begin(b)
+	count := func(s *schema.Subject) int64 { n, _ := tr.Count(s); return n }
+	is.Equal(count(&schema.Subject{Team: "t"}), int64(3))
+	is.Equal(count(&schema.Subject{Customer: "hill"}), int64(1))
+	is.Equal(count(&schema.Subject{Team: "t", Route: "other"}), int64(0))
+	tr.End(a, true, now)
+	n, last := tr.Count(&schema.Subject{Customer: "hill"})
+	is.Equal(n, int64(0))
+	is.Equal(last, now)
+	tr.End(b, false, now)
+	tr.End(b, false, now)
+	is.Equal(len(tr.calls), 1) // what no route matched is forgotten
+}
--- /dev/null
+++ b/peer/contract_test.go
@@ -0,0 +1,336 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/burn"
+	"github.com/jaypitch/jaypitch/evidence"
+	"github.com/jaypitch/jaypitch/http1"
+	"github.com/jaypitch/jaypitch/schema"
+	"github.com/jaypitch/jaypitch/schema/schemaconnect"
+	"github.com/jaypitch/jaypitch/settings"
+)
+
+// fakeReceiver answers attempts with what a test sets, and remembers them.
+type fakeReceiver struct {
+	answer func(a *jaypitch.Attempt) *jaypitch.Answer
+	got    *jaypitch.Attempt
+}
+
+func (f *fakeReceiver) Serve(_ context.Context, a *jaypitch.Attempt) *jaypitch.Answer {
+	f.got = a
+	return f.answer(a)
+}
+
+// cutStream gives some bytes and then fails.
+type cutStream struct {
+	io.Reader
+}
+
+func (cutStream) Close() error { return nil }
+
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, errors.New("cut") }
+
+func attempt() *jaypitch.Attempt {
+	return &jaypitch.Attempt{Call: &jaypitch.Call{Team: "fairs", Route: "filing", Customer: "meadow", Path: "/x/y?z=1&u=%2F", Method: http.MethodPost,
+		Header: http.Header{"X-Own": {"1", "2"}, "Connection": {"x-hop"}, "X-Hop": {"gone"}, "Jaypitch-Team": {"forged"}}, Body: []byte("body"),
+		Deadline: time.Now().Add(10 * time.Second), Retries: 2, Token: "h.1.2.3"}, Sender: "s", Process: 255, Revision: 7}
+}
+
+// exchange passes an attempt through a client, a socket and a server.
+func exchange(t *testing.T, a *jaypitch.Attempt, answer func(a *jaypitch.Attempt) *jaypitch.Answer) (*fakeReceiver, *jaypitch.Answer, error) {
+	t.Helper()
+	f := &fakeReceiver{answer: answer}
+	server := httptest.NewServer(NewCallServer(f, 1<<20, time.Now))
+	t.Cleanup(server.Close)
+	got, err := NewCallClient(time.Now).Do(context.Background(), strings.TrimPrefix(server.URL, "http://"), a)
+	return f, got, err
+}
+
+func TestCallContract(t *testing.T) {
+	t.Run("an attempt arrives as it was sent", func(t *testing.T) {
+		is := is.New(t)
+		sent := attempt()
+		f, _, err := exchange(t, sent, func(*jaypitch.Attempt) *jaypitch.Answer { return jaypitch.Refusal(jaypitch.CodeShed, "x") })
+		is.NoErr(err)
+		left := time.Until(f.got.Deadline)
+		is.True(left > 8*time.Second && left <= 10*time.Second)
+		f.got.Deadline = sent.Deadline
+		is.Equal(f.got.Header["X-Own"], []string{"1", "2"})
+		is.Equal(f.got.Header["X-Hop"], nil)
+		f.got.Header, sent.Header = nil, nil
+		is.Equal(f.got.Call, sent.Call)
+		is.Equal(f.got.Process, sent.Process)
+		is.Equal(f.got.Revision, sent.Revision)
+		is.Equal(f.got.Sender, sent.Sender)
+	})
+	t.Run("an answer comes back as it was given", func(t *testing.T) {
+		is := is.New(t)
+		given := &jaypitch.Answer{Code: jaypitch.CodeOK, Status: 418, Header: http.Header{"X-Own": {"1"}}, Body: []byte("answer"),
+			Told: jaypitch.Told{Process: 9, Epoch: 8, Load: 0.5, HoldOffUS: 7, Stopping: true, Revision: 6}}
+		_, got, err := exchange(t, attempt(), func(*jaypitch.Attempt) *jaypitch.Answer { return given.Copy() })
+		is.NoErr(err)
+		is.Equal(got.Header.Get("X-Own"), "1")
+		got.Header, given.Header = nil, nil
+		is.Equal(got, given)
+	})
+	t.Run("a long answer comes back whole", func(t *testing.T) {
+		is := is.New(t)
+		long := bytes.Repeat([]byte("0123456789"), 100_000)
+		_, got, err := exchange(t, attempt(), func(*jaypitch.Attempt) *jaypitch.Answer {
+			return &jaypitch.Answer{Code: jaypitch.CodeOK, Status: 200, Header: http.Header{}, Body: long[:10], Stream: io.NopCloser(bytes.NewReader(long[10:]))}
+		})
+		is.NoErr(err)
+		rest, err := io.ReadAll(got.Stream)
+		is.NoErr(err)
+		is.True(bytes.Equal(append(got.Body, rest...), long))
+		is.NoErr(got.Stream.Close())
+	})
+	for name, size := range map[string]int{"short": 100, "long": 300_000} {
+		t.Run("a "+name+" answer that is cut off fails", func(t *testing.T) {
+			is := is.New(t)
+			_, got, err := exchange(t, attempt(), func(*jaypitch.Attempt) *jaypitch.Answer {
+				return &jaypitch.Answer{Code: jaypitch.CodeOK, Status: 200, Header: http.Header{}, Stream: cutStream{io.MultiReader(bytes.NewReader(make([]byte, size)), failingReader{})}}
+			})
+			if err == nil {
+				_, err = io.ReadAll(got.Stream)
+			}
+			is.True(err != nil)
+		})
+	}
+	t.Run("a body over the limit is refused as not run", func(t *testing.T) {
+		is := is.New(t)
+		a := attempt()
+		a.Body = make([]byte, 2<<20)
+		f, got, err := exchange(t, a, func(*jaypitch.Attempt) *jaypitch.Answer { return jaypitch.Refusal(jaypitch.CodeOK, "") })
+		is.NoErr(err)
+		is.Equal(got.Code, jaypitch.CodeBodyTooLarge)
+		is.True(f.got == nil)
+	})
+	t.Run("a refused connection is known to have sent nothing", func(t *testing.T) {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		is.NoErr(l.Close())
+		assertSent(t, l.Addr().String(), false)
+	})
+	t.Run("a connection closed under a request may have sent it", func(t *testing.T) {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer l.Close()
+		go (&closer{l}).run()
+		assertSent(t, l.Addr().String(), true)
+	})
+}
+
+// closer reads a little of one connection and closes it.
+type closer struct {
+	listener net.Listener
+}
+
+func (c *closer) run() {
+	conn, err := c.listener.Accept()
+	if err == nil {
+		_, _ = conn.Read(make([]byte, 1))
+		_ = conn.Close()
+	}
+}
+
+func assertSent(t *testing.T, address string, want bool) {
+	t.Helper()
+	is := is.New(t)
+	_, err := NewCallClient(time.Now).Do(context.Background(), address, attempt())
+	var e *http1.Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Sent, want)
+}
+
+func TestCallServerRefuses(t *testing.T) {
+	is := is.New(t)
+	w := httptest.NewRecorder()
+	NewCallServer(&fakeReceiver{}, 10, time.Now).ServeHTTP(w, httptest.NewRequest(http.MethodGet, CallPath+"/x", nil))
+	is.Equal(w.Header().Get(jaypitch.HeaderCode), "117")
+}
+
+// fakeLocal is a node that holds a store.
+type fakeLocal struct {
+	host      string
+	process   uint64
+	store     *settings.Store
+	mu        sync.Mutex
+	confirmed bool
+	trust     chan struct{}
+}
+
+func newLocal(host string, process uint64) *fakeLocal {
+	return &fakeLocal{host: host, process: process, store: settings.NewStore(time.Now), confirmed: true, trust: make(chan struct{})}
+}
+
+func (l *fakeLocal) Sender() *schema.Sender {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return &schema.Sender{Host: l.host, Process: l.process, Confirmed: l.confirmed, StateDigest: l.store.Digest()}
+}
+func (l *fakeLocal) TrustChanged() <-chan struct{} { return l.trust }
+func (l *fakeLocal) Find(*schema.Subject) evidence.Finding {
+	return evidence.Finding{Host: l.host, Revision: 3, Confirmed: true, LastCallUS: -1}
+}
+func (l *fakeLocal) Unlisted() []*schema.Target { return nil }
+func (l *fakeLocal) BurnCounts() []burn.Count {
+	return []burn.Count{{Service: "s", Rank: "r", WindowUS: 1, Good: 2, Bad: 1}}
+}
+func (l *fakeLocal) StopCalling(context.Context, *schema.Sender) error { return nil }
+func (l *fakeLocal) Heard(*schema.Sender)                              {}
+
+// serveControl runs the control side of a local on a loopback socket and returns its address.
+func serveControl(t *testing.T, l *fakeLocal) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(schemaconnect.NewPeerHandler(NewServer(l, l.store, NewClients(&Traffic{}), time.Now), HandlerOptions()...))
+	s := httptest.NewUnstartedServer(mux)
+	s.Config.Protocols = new(http.Protocols)
+	s.Config.Protocols.SetUnencryptedHTTP2(true)
+	s.Start()
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func document(revision int64, extra string) jaypitch.Document {
+	return jaypitch.NewDocument("teams/fairs", revision, []byte("[team]\nname = fairs\n"+extra))
+}
+
+func TestControlContract(t *testing.T) {
+	ctx := context.Background()
+	l := newLocal("a", 5)
+	l.store.Merge(document(1, ""))
+	client := NewClients(&Traffic{}).To(serveControl(t, l))
+	poll := func(r *schema.PollRequest) *schema.PollResponse {
+		t.Helper()
+		a, err := client.Poll(ctx, connect.NewRequest(r))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a.Msg
+	}
+	t.Run("an unknown cursor gets all", func(t *testing.T) {
+		is := is.New(t)
+		r := poll(&schema.PollRequest{Sender: &schema.Sender{}})
+		is.True(r.GetFull())
+		is.Equal(len(r.GetVersions()), 1)
+	})
+	t.Run("an unknown cursor with the same digest gets nothing", func(t *testing.T) {
+		is := is.New(t)
+		r := poll(&schema.PollRequest{Sender: &schema.Sender{StateDigest: l.store.Digest()}})
+		is.True(!r.GetFull())
+		is.Equal(len(r.GetVersions()), 0)
+	})
+	t.Run("a poll ends with a change", func(t *testing.T) {
+		is := is.New(t)
+		_, cursor := l.store.Changed()
+		l.store.Merge(document(2, ";\n"))
+		r := poll(&schema.PollRequest{Sender: &schema.Sender{Confirmed: true}, Process: 5, Cursor: cursor, WaitUs: 1e7})
+		is.Equal(r.GetVersions()[0].GetRevision(), int64(2))
+	})
+	t.Run("a poll of an unconfirmed node ends when the parent is confirmed", func(t *testing.T) {
+		is := is.New(t)
+		_, cursor := l.store.Changed()
+		is.True(poll(&schema.PollRequest{Sender: &schema.Sender{}, Process: 5, Cursor: cursor, WaitUs: 1e7}).GetSender().GetConfirmed())
+	})
+	t.Run("fetching makes two nodes hold the same, by delta where it can", func(t *testing.T) {
+		is := is.New(t)
+		own := newLocal("b", 6)
+		own.store.Merge(document(1, ""))
+		versions, _, _ := l.store.Since(0)
+		is.NoErr(NewFetcher(own.store).Fetch(ctx, client, versions))
+		is.Equal(own.store.Digest(), l.store.Digest())
+	})
+	t.Run("a tombstone is fetched too", func(t *testing.T) {
+		is := is.New(t)
+		own := newLocal("b", 6)
+		own.store.Merge(document(1, ""))
+		l.store.Merge(jaypitch.NewTombstone("teams/fairs", 9))
+		versions, _, _ := l.store.Since(0)
+		is.NoErr(NewFetcher(own.store).Fetch(ctx, client, versions))
+		e, _ := own.store.Entry("teams/fairs")
+		is.True(e.Document.Deleted)
+	})
+	t.Run("a version that the peer doesn't give is an error", func(t *testing.T) {
+		own := newLocal("b", 6)
+		err := NewFetcher(own.store).Fetch(ctx, client, []*schema.Version{{Key: "teams/other", Revision: 1}})
+		is.New(t).True(err != nil)
+	})
+	t.Run("the budget for whole bodies tells when to come back", func(t *testing.T) {
+		is := is.New(t)
+		s := NewServer(l, l.store, NewClients(&Traffic{}), time.Now)
+		l.store.Merge(document(10, strings.Repeat(";\n", 400_000)))
+		var wait int64
+		for range 40 {
+			r, err := s.Fetch(ctx, connect.NewRequest(&schema.FetchRequest{Items: []*schema.FetchItem{{Key: "teams/fairs", Revision: 10}}}))
+			is.NoErr(err)
+			wait = r.Msg.GetRetryAfterUs()
+		}
+		is.True(wait > 0)
+	})
+}
+
+func TestGather(t *testing.T) {
+	is := is.New(t)
+	var targets []*schema.Target
+	locals := make([]*fakeLocal, 30)
+	for i := range locals {
+		locals[i] = newLocal(string(rune('A'+i)), uint64(i))
+		targets = append(targets, &schema.Target{Host: locals[i].host, Address: serveControl(t, locals[i])})
+	}
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(dead.Close())
+	targets[4].Address, targets[17].Address = dead.Addr().String(), dead.Addr().String()
+	root := NewServer(locals[0], locals[0].store, NewClients(&Traffic{}), time.Now)
+	t.Run("evidence of all but the silent", func(t *testing.T) {
+		is := is.New(t)
+		r := root.GatherEvidence(context.Background(), &schema.EvidenceRequest{Subject: &schema.Subject{Team: "x"}, Targets: targets, TimeLeftUs: 2e7})
+		is.Equal(len(r.GetGroups()), 1)
+		is.Equal(evidence.Count(r.GetGroups()[0]), 28)
+		is.Equal(len(r.GetExceptions()), 2)
+		is.Equal(r.GetExceptions()[0].GetHost(), targets[4].GetHost())
+		is.Equal(r.GetExceptions()[1].GetHost(), targets[17].GetHost())
+	})
+	t.Run("counts of all but the silent", func(t *testing.T) {
+		is := is.New(t)
+		r := root.GatherBurn(context.Background(), &schema.BurnRequest{Targets: targets, TimeLeftUs: 2e7})
+		is.Equal(r.GetCounts()[0].GetGood(), int64(56))
+		is.Equal(len(r.GetSilent()), 2)
+	})
+}
+
+func FuzzBody(f *testing.F) {
+	f.Add([]byte("[a]\n"), []byte("0123456789abcdef"), int32(0), int32(1), []byte("x"))
+	f.Fuzz(func(t *testing.T, text, digest []byte, from, count int32, piece []byte) {
+		store := settings.NewStore(time.Now)
+		store.Merge(document(1, ""))
+		e, _ := store.Entry("teams/fairs")
+		b := &schema.Body{Version: &schema.Version{Key: "teams/fairs", Revision: 2, Digest: digest}, Text: text, BaseDigest: e.Document.Digest[:],
+			Pieces: []*schema.Piece{{CopyFrom: from, CopyCount: count, Text: piece}}}
+		d, err := NewFetcher(store).document(b)
+		if err == nil && !bytes.Equal(d.Digest[:], digest) {
+			t.Fatalf("a body with digest %x passes for %x", d.Digest, digest)
+		}
+	})
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -190,8 +190,8 @@
 	}
 	t := time.NewTimer(min(time.Duration(ms)*time.Millisecond, maxWait))
 	defer t.Stop()
-	for {
-		m, down, changed := p.changesAfter(c, after)
+	for ended := false; ; {
+		m, down, changed := p.changesAfter(c, after, ended)
 		if down {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
@@ -205,17 +205,14 @@
 		case <-r.Context().Done():
 			return
 		case <-t.C:
-			p.mu.Lock()
-			_, revision := c.view()
-			p.mu.Unlock()
-			send(w, &schema.SourceChanges{Revision: revision})
-			return
+			ended = true
 		}
 	}
 }
 
-// changesAfter returns what a watch answers now, or nil if it has to wait.
-func (p *Platform) changesAfter(c *collection, after int64) (m *schema.SourceChanges, down bool, changed chan struct{}) {
+// changesAfter returns what a watch answers now, or nil if it has to wait. A watch that ends without news
+// tells the revision at which there were none.
+func (p *Platform) changesAfter(c *collection, after int64, ended bool) (m *schema.SourceChanges, down bool, changed chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	values, revision := c.view()
@@ -234,7 +231,7 @@
 			m.Changes = append(m.Changes, v)
 		}
 	}
-	if len(m.GetChanges()) == 0 {
+	if len(m.GetChanges()) == 0 && !ended {
 		return nil, false, c.changed
 	}
 	slices.SortFunc(m.GetChanges(), func(a, b *schema.SourceChange) int { return int(a.GetRevision() - b.GetRevision()) })
