--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -184,6 +185,12 @@
 	return f.put("teams", team, text)
 }
 
+// Publish writes a value by its key.
+func (f *Fleet) Publish(key string, text []byte) error {
+	collection, name, _ := strings.Cut(key, "/")
+	return f.put(collection, name, text)
+}
+
 // StartAll starts every host.
 func (f *Fleet) StartAll() error {
 	for _, h := range f.Hosts {
