Start no call that can't end by its deadline, and keep no room for refused attempts

Up to two of three calls that a backend server ran under a flood were given up at their deadline: they had waited until too little was left. And after the floods three of four calls that aren't idempotent were refused: attempts that had been refused stood in the table of kept answers for 120 s and filled it.

Change: a waiting call is refused as not run once the mean time of its rank doesn't fit before its deadline; a call whose wait can't be met is refused as overloaded, so that the sender goes elsewhere.

A call is still started with just its mean time left; that is looked at next.

--- a/admit/admission.go
+++ b/admit/admission.go
@@ -35,6 +35,7 @@
 	rank    *settings.Rank
 	waiting []*Ticket
 	credit  float64
+	service float64 // mean time a call of this rank holds a slot, in microseconds; 0 before the first one ends
 }
 
 // Outcome says how a call that was started ended.
@@ -74,7 +75,7 @@
 	for _, r := range ranks {
 		q := &queue{rank: r}
 		if i := slices.IndexFunc(old, func(o *queue) bool { return o.rank.Name == r.Name }); i >= 0 {
-			q.waiting, q.credit = old[i].waiting, old[i].credit
+			q.waiting, q.credit, q.service = old[i].waiting, old[i].credit, old[i].service
 			old = slices.Delete(slices.Clone(old), i, i+1)
 		}
 		a.ranks = append(a.ranks, q)
@@ -103,16 +104,16 @@
 	if len(q.waiting) >= q.rank.Queue {
 		return false, jaypitch.Errorf(jaypitch.CodeOverloaded, "%d calls of rank %q wait already", len(q.waiting), t.Rank)
 	}
-	if wait := a.Wait(t.Rank) + time.Duration(a.service)*time.Microsecond; wait > left {
-		return false, jaypitch.Errorf(jaypitch.CodeDeadline, "the call would end in %s; %s are left", wait.Round(time.Millisecond), left.Round(time.Millisecond))
+	if wait := a.Wait(t.Rank) + q.serviceTime(); wait > left {
+		return false, jaypitch.Errorf(jaypitch.CodeOverloaded, "the call would end in %s; %s are left", wait.Round(time.Millisecond), left.Round(time.Millisecond))
 	}
 	t.queued = true
 	q.waiting = append(q.waiting, t)
 	return false, nil
 }
 
-// Finish ends a call that held a slot for a time.
-func (a *Admission) Finish(o Outcome, held time.Duration, now time.Time) {
+// Finish ends a call of a rank that held a slot for a time.
+func (a *Admission) Finish(rank string, o Outcome, held time.Duration, now time.Time) {
 	a.inFlight--
 	switch o {
 	case Shed:
@@ -120,12 +121,15 @@
 		a.raisedAt = now
 	case Served:
 		a.service += serviceWeight * (float64(held.Microseconds()) - a.service)
+		if q := a.queue(rank); q != nil {
+			q.learn(float64(held.Microseconds()))
+		}
 		a.raise()
 	case Failed:
 	}
 }
 
-// Next takes the waiting calls that may start now, and those whose deadline has passed.
+// Next takes the waiting calls that may start now, and those that can't end by their deadlines any more.
 func (a *Admission) Next(now time.Time) (start, expired []*Ticket) {
 	expired = a.expire(now)
 	for a.inFlight < a.Limit() {
@@ -166,7 +170,7 @@
 			continue
 		}
 		perCall := a.service / a.limit
-		wait := float64(ahead) * perCall
+		wait := float64(ahead+1) * perCall
 		if q.rank.Floor > 0 {
 			wait = min(wait+a.urgentPressure(q)*perCall, float64(len(q.waiting)+1)*perCall/q.rank.Floor)
 		}
@@ -231,11 +235,13 @@
 	return due
 }
 
+// expire takes out calls that can't end by their deadlines any more, so that none is started in vain.
 func (a *Admission) expire(now time.Time) []*Ticket {
 	var expired []*Ticket
 	for _, q := range a.ranks {
+		latest := now.Add(q.serviceTime())
 		q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
-			late := !now.Before(t.Deadline)
+			late := !latest.Before(t.Deadline)
 			if late {
 				t.queued = false
 				expired = append(expired, t)
@@ -246,6 +252,19 @@
 	return expired
 }
 
+// learn takes a time that a call held a slot into the mean of its rank.
+func (q *queue) learn(us float64) {
+	if q.service == 0 {
+		q.service = us
+	}
+	q.service += serviceWeight * (us - q.service)
+}
+
+// serviceTime is the time that a call of this rank is expected to hold a slot.
+func (q *queue) serviceTime() time.Duration {
+	return time.Duration(q.service) * time.Microsecond
+}
+
 // urgentPressure is how many more urgent calls are expected to go first while a call of q waits.
 func (a *Admission) urgentPressure(q *queue) float64 {
 	n := 0
--- a/admit/admission_test.go
+++ b/admit/admission_test.go
@@ -44,7 +44,7 @@
 				}
 			}
 		}
-		a.Finish(Served, 5*time.Millisecond, start)
+		a.Finish("urgent", Served, 5*time.Millisecond, start)
 		next, _ := a.Next(start)
 		for _, t := range next {
 			started[t.Rank]++
@@ -99,7 +99,7 @@
 		{"free slot", newAdmission(1), "late", time.Second, true, jaypitch.CodeOK},
 		{"no free slot", full(), "late", time.Second, false, jaypitch.CodeOK},
 		{"deadline passed", newAdmission(1), "late", 0, false, jaypitch.CodeDeadline},
-		{"deadline too near for the wait", full(), "late", 2 * time.Millisecond, false, jaypitch.CodeDeadline},
+		{"deadline too near for the wait", full(), "late", 2 * time.Millisecond, false, jaypitch.CodeOverloaded},
 		{"rank not held", full(), "gone", time.Second, false, jaypitch.CodeRouteWithdrawn},
 	}
 	for _, c := range cases {
@@ -123,17 +123,31 @@
 	is := is.New(t)
 	a := newAdmission(10)
 	_, _ = a.Arrive(ticket("urgent"), start)
-	a.Finish(Shed, time.Millisecond, start)
+	a.Finish("urgent", Shed, time.Millisecond, start)
 	is.Equal(a.Limit(), 8)
 	for range 100 {
 		_, _ = a.Arrive(ticket("urgent"), start)
-		a.Finish(Shed, time.Millisecond, start)
+		a.Finish("urgent", Shed, time.Millisecond, start)
 	}
 	is.Equal(a.Limit(), 1)
 	flood(a, []string{"urgent"}, 200)
 	is.Equal(a.Limit(), 10)
 }
 
+func TestNothingIsStartedInVain(t *testing.T) {
+	is := is.New(t)
+	a := newAdmission(1)
+	_, _ = a.Arrive(ticket("urgent"), start)
+	soon := ticket("urgent")
+	soon.Deadline = start.Add(300 * time.Millisecond)
+	_, err := a.Arrive(soon, start)
+	is.True(err == nil)
+	a.Finish("urgent", Served, 200*time.Millisecond, start.Add(200*time.Millisecond))
+	started, expired := a.Next(start.Add(200 * time.Millisecond))
+	is.Equal(len(started), 0)
+	is.Equal(expired, []*Ticket{soon})
+}
+
 func TestRankWithdrawn(t *testing.T) {
 	is := is.New(t)
 	a := newAdmission(1)
@@ -175,7 +189,7 @@
 				}
 			case 3:
 				if running > 0 {
-					a.Finish(rapid.SampledFrom([]Outcome{Served, Failed, Shed}).Draw(t, "outcome"), time.Millisecond, now)
+					a.Finish("urgent", rapid.SampledFrom([]Outcome{Served, Failed, Shed}).Draw(t, "outcome"), time.Millisecond, now)
 					running--
 				}
 				started, expired := a.Next(now)
--- a/backend/gate.go
+++ b/backend/gate.go
@@ -21,6 +21,7 @@
 // slot is the right of one call to run; it is given back once.
 type slot struct {
 	gate    *gate
+	rank    string
 	started time.Time
 	once    sync.Once
 }
@@ -39,7 +40,7 @@
 			return nil, refused
 		}
 	}
-	return &slot{gate: g, started: g.now()}, nil
+	return &slot{gate: g, rank: rank, started: g.now()}, nil
 }
 
 // await waits for a grant.
@@ -68,7 +69,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		now := g.now()
-		g.admission.Finish(o, now.Sub(s.started), now)
+		g.admission.Finish(s.rank, o, now.Sub(s.started), now)
 		g.grant(now)
 	})
 }
@@ -80,7 +81,7 @@
 		t.Granted <- nil
 	}
 	for _, t := range expired {
-		t.Granted <- jaypitch.Errorf(jaypitch.CodeDeadline, "the call waited for a slot until its deadline")
+		t.Granted <- jaypitch.Errorf(jaypitch.CodeDeadline, "the call waited for a slot until it could not end by its deadline any more")
 	}
 }
 
--- a/bench/added.go
+++ b/bench/added.go
@@ -45,7 +45,7 @@
 	return inFleet(b, scenario.NodeOptions{}, func(f *scenario.Fleet) error {
 		f.Add("entry_1", "manila", "entry", 13, 120)
 		f.Add("ledger_1", "manila", "ledger", 13, 120)
-		if err := startFleet(f, "fairs", floodFairs()); err != nil {
+		if err := startFleet(f, "fairs", []byte(fairs)); err != nil {
 			return err
 		}
 		for _, rate := range addedRates {
--- a/bench/settings.go
+++ /dev/null
@@ -1,6 +0,0 @@
-package main
-
-import _ "embed"
-
-//go:embed fairs.ini
-var fairs string
--- a/bench/stop.go
+++ b/bench/stop.go
@@ -36,7 +36,7 @@
 func benchStop(b scenario.Binaries) error {
 	return inFleet(b, scenario.NodeOptions{}, func(f *scenario.Fleet) error {
 		scenario.KesongPerya(f)
-		if err := startFleet(f, "fairs", floodFairs()); err != nil {
+		if err := startFleet(f, "fairs", []byte(fairs)); err != nil {
 			return err
 		}
 		if err := stopNodes(f); err != nil {
--- a/once/answers.go
+++ b/once/answers.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -41,6 +42,8 @@
 	// Answer is nil until Done is closed.
 	Answer *jaypitch.Answer
 
+	token Token
+	first bool
 	until time.Time
 	size  int
 }
@@ -51,6 +54,8 @@
 	// maxTotalBytes bounds the answers of all entries.
 	maxTotalBytes = 16 << 20
 	tokenParts    = 4
+	// minCompaction is how many forgotten tokens may stand in the order of expiry at least.
+	minCompaction = 1024
 )
 
 // String returns the token as it crosses the wire.
@@ -96,6 +101,7 @@
 	if e == nil {
 		return nil, jaypitch.Errorf(jaypitch.CodeAnswersFull, "%d answers are kept", len(a.entries))
 	}
+	e.first = true
 	return e, nil
 }
 
@@ -120,8 +126,12 @@
 	return e, nil
 }
 
-// End records the answer of an attempt. An answer that is too large is remembered without its body.
+// End records the answer of an attempt. An answer that is too large is remembered without its body. A first
+// attempt that didn't run is forgotten: it is sent only once, and a repeat finds that it never ran.
 func (a *Answers) End(e *Entry, answer *jaypitch.Answer) {
+	if e.first && answer.Code.Info().Ran == jaypitch.NotRun {
+		delete(a.entries, e.token)
+	}
 	size := len(answer.Body)
 	if answer.Stream != nil || size > maxAnswerBytes || a.bytes+size > a.maxBytes {
 		answer = jaypitch.Refusal(jaypitch.CodeAnswerNotKept, "the answer was too large to keep")
@@ -147,9 +157,12 @@
 	if len(a.entries) >= a.limit {
 		return nil
 	}
-	e := &Entry{Done: make(chan struct{}), until: now.Add(a.kept)}
+	e := &Entry{Done: make(chan struct{}), token: t, until: now.Add(a.kept)}
 	a.entries[t] = e
 	a.order = append(a.order, t)
+	if len(a.order) > 2*len(a.entries)+minCompaction {
+		a.order = slices.DeleteFunc(a.order, func(t Token) bool { return a.entries[t] == nil })
+	}
 	return e
 }
 
@@ -159,11 +172,13 @@
 	n := 0
 	for n < len(a.order) {
 		e := a.entries[a.order[n]]
-		if now.Before(e.until) || e.Answer == nil {
+		if e != nil && (now.Before(e.until) || e.Answer == nil) {
 			break
 		}
-		a.bytes -= e.size
-		delete(a.entries, a.order[n])
+		if e != nil {
+			a.bytes -= e.size
+			delete(a.entries, a.order[n])
+		}
 		n++
 	}
 	a.order = a.order[n:]
--- a/once/answers_test.go
+++ b/once/answers_test.go
@@ -40,6 +40,7 @@
 		{"a repeat of a token that may have been forgotten", []string{"wait 100", "repeat 151"}},
 		{"one in progress is not forgotten", []string{"first 0", "wait 500", "repeat running"}},
 		{"another process", []string{"restart", "repeat 152", "first 111"}},
+		{"a refused first attempt takes no room", []string{"first 0", "refuse", "empty", "repeat 120", "first 120"}},
 		{"a full table", []string{"fill", "first 115", "repeat 150"}},
 	}
 	for _, c := range cases {
@@ -62,6 +63,10 @@
 					for i := range 4 {
 						_, _ = a.First(Token{Host: "h", Process: 1, Nonce: uint64(100 + i)}, at(now))
 					}
+				case "refuse":
+					a.End(entry, jaypitch.Refusal(jaypitch.CodeOverloaded, "x"))
+				case "empty":
+					is.Equal(a.Len(), 0)
 				case "end":
 					a.End(entry, whole("x"))
 				case "first":
--- a/scenario/load.go
+++ b/scenario/load.go
@@ -67,7 +67,7 @@
 	codeCut       = -1
 )
 
-var loadClient = &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 256, MaxConnsPerHost: 512}}
+var loadClient = &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 256, MaxConnsPerHost: 1024}}
 
 // NewLoad makes a load whose request ids begin with the kind's name.
 func NewLoad(k Kind, perSecond float64, addresses []string) *Load {
