Leave a margin between the mean time of a rank and the time left for a call

Cause: calls were started with just the mean time of their rank left, so about half of those missed their deadlines after they had run.

Change: a call is started, or queued, only if one and a half times the mean is left.

--- a/admit/admission.go
+++ b/admit/admission.go
@@ -55,6 +55,8 @@
 	shedFactor = 0.8
 	// serviceWeight is the weight of the newest call in the mean time.
 	serviceWeight = 0.05
+	// serviceMargin is how much more than the mean time has to be left for a call to be started.
+	serviceMargin = 1.5
 	// initialServiceUS is assumed before the first call ends.
 	initialServiceUS = 5000
 	minHoldOff       = 5 * time.Millisecond
@@ -104,7 +106,7 @@
 	if len(q.waiting) >= q.rank.Queue {
 		return false, jaypitch.Errorf(jaypitch.CodeOverloaded, "%d calls of rank %q wait already", len(q.waiting), t.Rank)
 	}
-	if wait := a.Wait(t.Rank) + q.serviceTime(); wait > left {
+	if wait := a.Wait(t.Rank) + q.timeNeeded(); wait > left {
 		return false, jaypitch.Errorf(jaypitch.CodeOverloaded, "the call would end in %s; %s are left", wait.Round(time.Millisecond), left.Round(time.Millisecond))
 	}
 	t.queued = true
@@ -239,7 +241,7 @@
 func (a *Admission) expire(now time.Time) []*Ticket {
 	var expired []*Ticket
 	for _, q := range a.ranks {
-		latest := now.Add(q.serviceTime())
+		latest := now.Add(q.timeNeeded())
 		q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
 			late := !latest.Before(t.Deadline)
 			if late {
@@ -260,9 +262,9 @@
 	q.service += serviceWeight * (us - q.service)
 }
 
-// serviceTime is the time that a call of this rank is expected to hold a slot.
-func (q *queue) serviceTime() time.Duration {
-	return time.Duration(q.service) * time.Microsecond
+// timeNeeded is the time that has to be left for a call of this rank to be started.
+func (q *queue) timeNeeded() time.Duration {
+	return time.Duration(q.service*serviceMargin) * time.Microsecond
 }
 
 // urgentPressure is how many more urgent calls are expected to go first while a call of q waits.
--- a/bench/flood.go
+++ b/bench/flood.go
@@ -3,6 +3,7 @@
 import (
 	_ "embed"
 	"fmt"
+	"regexp"
 	"time"
 
 	"github.com/jaypitch/jaypitch/scenario"
@@ -40,6 +41,9 @@
 	//go:embed vans.ini
 	vans string
 
+	// onlyDeployment is an expression that picks deployments by name.
+	onlyDeployment string
+
 	deployments = []deployment{
 		{"kesong", "fairs", fairs, scenario.KesongPerya, []scenario.Kind{
 			{Name: "urgent", Path: "/fairs/judge_entry/x?ms=200", Customer: "meadow", Target: 400 * time.Millisecond, Body: "judge"},
@@ -63,7 +67,14 @@
 // benchFlood floods both deployments with the least and with the most urgent work, through the nodes and, as a
 // baseline, straight at the backend servers in turn, which shed what they have no slot for.
 func benchFlood(b scenario.Binaries) error {
+	pick, err := regexp.Compile(onlyDeployment)
+	if err != nil {
+		return fmt.Errorf("flag -deployment: %w", err)
+	}
 	for _, d := range deployments {
+		if !pick.MatchString(d.name) {
+			continue
+		}
 		err := inFleet(b, scenario.NodeOptions{}, func(f *scenario.Fleet) error {
 			d.place(f)
 			if err := startFleet(f, d.team, []byte(d.text)); err != nil {
--- a/bench/main.go
+++ b/bench/main.go
@@ -32,6 +32,7 @@
 	flag.StringVar(&b.Jaypitch, "jaypitch", "bin/jaypitch", "jaypitch program")
 	flag.StringVar(&b.Standin, "standin", "bin/standin", "stand-in program")
 	flag.StringVar(&only, "only", ".", "expression that picks parts by name: table, spread, scale, added, stop, flood")
+	flag.StringVar(&onlyDeployment, "deployment", ".", "expression that picks the deployments of the part flood: kesong, filo")
 	flag.Parse()
 	scenario.EndOnSignal()
 	pick, err := regexp.Compile(only)
