Bound the wait of a rank by its target; documents tested against the code

Cause: in a flood of the most urgent work its queue held calls up to their deadline, so nearly all were answered after their target; the load also took time from the other ranks.

Change: a call is refused at once if its wait and one and a half times the mean of its rank don't fit before its target, or before 1.25 times that need if the target is shorter. The pages of codes, settings, metrics and commands follow from the code, and a test fails if they differ.

--- a/admit/admission.go
+++ b/admit/admission.go
@@ -57,6 +57,8 @@
 	serviceWeight = 0.05
 	// serviceMargin is how much more than the mean time has to be left for a call to be started.
 	serviceMargin = 1.5
+	// minPatience is the least time that a call may take with its wait, as a multiple of what it needs.
+	minPatience = 1.25
 	// initialServiceUS is assumed before the first call ends.
 	initialServiceUS = 5000
 	minHoldOff       = 5 * time.Millisecond
@@ -106,8 +108,8 @@
 	if len(q.waiting) >= q.rank.Queue {
 		return false, jaypitch.Errorf(jaypitch.CodeOverloaded, "%d calls of rank %q wait already", len(q.waiting), t.Rank)
 	}
-	if wait := a.Wait(t.Rank) + q.timeNeeded(); wait > left {
-		return false, jaypitch.Errorf(jaypitch.CodeOverloaded, "the call would end in %s; %s are left", wait.Round(time.Millisecond), left.Round(time.Millisecond))
+	if wait := a.Wait(t.Rank) + q.timeNeeded(); wait > min(left, q.patience()) {
+		return false, jaypitch.Errorf(jaypitch.CodeOverloaded, "the call would end in %s; %s are left, and the target bounds the wait", wait.Round(time.Millisecond), left.Round(time.Millisecond))
 	}
 	t.queued = true
 	q.waiting = append(q.waiting, t)
@@ -262,6 +264,11 @@
 	q.service += serviceWeight * (us - q.service)
 }
 
+// patience is how long a call of this rank may take with its wait: its target, but always some of its own time.
+func (q *queue) patience() time.Duration {
+	return max(time.Duration(q.rank.TargetUS)*time.Microsecond, time.Duration(q.service*serviceMargin*minPatience)*time.Microsecond)
+}
+
 // timeNeeded is the time that has to be left for a call of this rank to be started.
 func (q *queue) timeNeeded() time.Duration {
 	return time.Duration(q.service*serviceMargin) * time.Microsecond
--- a/admit/admission_test.go
+++ b/admit/admission_test.go
@@ -16,7 +16,7 @@
 
 // threeRanks are urgent, usual and late, with floors of 20, 20 and 10 percent.
 func threeRanks() []*settings.Rank {
-	return []*settings.Rank{{Name: "urgent", Order: 1, Floor: 0.2, Queue: 20}, {Name: "usual", Order: 2, Floor: 0.2, Queue: 20}, {Name: "late", Order: 3, Floor: 0.1, Queue: 20}}
+	return []*settings.Rank{{Name: "urgent", Order: 1, Floor: 0.2, Queue: 20, TargetUS: 1e6}, {Name: "usual", Order: 2, Floor: 0.2, Queue: 20, TargetUS: 1e6}, {Name: "late", Order: 3, Floor: 0.1, Queue: 20, TargetUS: 1e6}}
 }
 
 func newAdmission(slots int) *Admission {
--- a/caller/matrix_test.go
+++ b/caller/matrix_test.go
@@ -28,13 +28,12 @@
 
 // trial is one call from a node without a backend server to a service on two other hosts, with faults.
 type trial struct {
-	mu      sync.Mutex
-	faults  []fault
-	hit     []fault
-	hosts   map[string]*trialHost
-	late    []func()
-	sender  *settings.Store
-	settled map[string]bool
+	mu     sync.Mutex
+	faults []fault
+	hit    []fault
+	hosts  map[string]*trialHost
+	late   []func()
+	sender *settings.Store
 }
 
 // trialHost is a receiving host: its node's process may be replaced, its backend server stays.
@@ -48,7 +47,6 @@
 	stopping bool
 	readyAt  time.Time
 	ran      int
-	finished int
 }
 
 var (
--- /dev/null
+++ b/cmd/jaypitch/docs_test.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/spf13/cobra/doc"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/ini"
+	"github.com/jaypitch/jaypitch/node"
+	"github.com/jaypitch/jaypitch/schema"
+	"github.com/jaypitch/jaypitch/settings"
+)
+
+var update = flag.Bool("update", false, "rewrite the pages that follow from the code")
+
+const docsDir = "../../docs"
+
+// assertPage checks that a page says what the code says.
+func assertPage(t *testing.T, name, want string) {
+	t.Helper()
+	file := filepath.Join(docsDir, name)
+	if *update {
+		if err := os.WriteFile(file, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != want {
+		t.Fatalf("docs/%s differs from the code; go test ./cmd/jaypitch -run Page -update rewrites it", name)
+	}
+}
+
+func TestCodesPage(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Result codes\n\nA refusal carries its code and whether the work ran in the headers `Jaypitch-Code` and `Jaypitch-Ran` and in a JSON body. " +
+		"`not_run` is said only when it is certain.\n\n| code | name | ran | HTTP status | meaning |\n|---|---|---|---|---|\n")
+	for _, c := range jaypitch.Codes {
+		ran, status := orDash(string(c.Ran)), "-"
+		if c.Status != 0 {
+			status = fmt.Sprint(c.Status)
+		}
+		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s |\n", c.Code, c.Name, ran, status, c.Help)
+	}
+	assertPage(t, "CODES.md", b.String())
+}
+
+func TestSettingsPage(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Settings\n\nAll settings are INI. `jaypitch check FILE` reports every problem of a file.\n")
+	for _, m := range []struct {
+		title string
+		d     protoreflect.MessageDescriptor
+	}{
+		{"A node's settings file", (&schema.NodeSettings{}).ProtoReflect().Descriptor()},
+		{"A team's subtree", (&schema.TeamSettings{}).ProtoReflect().Descriptor()},
+		{"A data centre's host list", (&schema.HostSettings{}).ProtoReflect().Descriptor()},
+	} {
+		fmt.Fprintf(&b, "\n## %s\n", m.title)
+		for i := range m.d.Fields().Len() {
+			writeSection(&b, m.d.Fields().Get(i))
+		}
+	}
+	assertPage(t, "SETTINGS.md", b.String())
+}
+
+func writeSection(b *strings.Builder, section protoreflect.FieldDescriptor) {
+	head := "[" + string(section.Name()) + "]"
+	if section.IsList() {
+		head = "[" + string(section.Name()) + " NAME]"
+	}
+	fmt.Fprintf(b, "\n### `%s`\n\n", head)
+	fields := section.Message().Fields()
+	if section.IsList() && fields.Len() == 1 {
+		b.WriteString("The section has no keys.\n")
+		return
+	}
+	b.WriteString("| key | default | meaning | allowed |\n|---|---|---|---|\n")
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		if section.IsList() && f.Name() == "name" {
+			continue
+		}
+		rule := ini.RuleOf(f)
+		fallback := orDash(rule.GetDefault())
+		if rule.GetRequired() {
+			fallback = "required"
+		}
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s |\n", ini.KeyOf(f), fallback, rule.GetHelp(), strings.TrimPrefix(ini.Allowed(f), "allowed is "))
+	}
+}
+
+func TestMetricsPage(t *testing.T) {
+	is := is.New(t)
+	s, problems := settings.ParseNode("f", []byte("[node]\nhost = h\ndata_centre = d\nservice = s\n[caller]\naddress = 127.0.0.1:2\n[peer]\naddress = 127.0.0.1:3\n"+
+		"[operator]\naddress = 127.0.0.1:4\n[platform]\naddress = 127.0.0.1:5\n[backend]\naddress = 127.0.0.1:6\n"))
+	is.Equal(len(problems), 0)
+	m := node.New(s, zap.NewNop()).Metrics()
+	m.Call("service", "rank", jaypitch.CodeOK, time.Millisecond)
+	families, err := m.Registry().Gather()
+	is.NoErr(err)
+	var b strings.Builder
+	b.WriteString("# Metrics\n\nServed at `/metrics` of the operators' listener, beside those of the Go runtime and of the process. The unit is the name's last part: seconds or bytes; else a count. " +
+		"`alerts.yml` has an alert for each line of the brief that must always hold.\n\n| name | type | labels | meaning |\n|---|---|---|---|\n")
+	names := map[string]bool{}
+	for _, f := range families {
+		if !strings.HasPrefix(f.GetName(), "jaypitch_") {
+			continue
+		}
+		names[f.GetName()] = true
+		var labels []string
+		for _, l := range f.GetMetric()[0].GetLabel() {
+			labels = append(labels, l.GetName())
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", f.GetName(), strings.ToLower(f.GetType().String()), orDash(strings.Join(labels, ", ")), f.GetHelp())
+	}
+	assertPage(t, "METRICS.md", b.String())
+	t.Run("alerts use metrics that exist and are explained", func(t *testing.T) {
+		is := is.New(t)
+		alerts, err := os.ReadFile(filepath.Join(docsDir, "alerts.yml"))
+		is.NoErr(err)
+		operations, err := os.ReadFile(filepath.Join(docsDir, "OPERATIONS.md"))
+		is.NoErr(err)
+		for _, name := range regexp.MustCompile(`jaypitch_\w+`).FindAllString(string(alerts), -1) {
+			is.True(names[name])
+		}
+		found := regexp.MustCompile(`alert: (\w+)`).FindAllStringSubmatch(string(alerts), -1)
+		is.Equal(len(found), 9)
+		for _, a := range found {
+			is.True(strings.Contains(string(operations), "### "+a[1]+"\n"))
+		}
+	})
+}
+
+func TestManPages(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	root := newRoot()
+	root.DisableAutoGenTag = true
+	date := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	is.NoErr(doc.GenManTree(root, &doc.GenManHeader{Title: "JAYPITCH", Section: "1", Date: &date, Source: "jaypitch"}, dir))
+	entries, err := os.ReadDir(dir)
+	is.NoErr(err)
+	is.True(len(entries) >= 10)
+	for _, e := range entries {
+		text, err := os.ReadFile(filepath.Join(dir, e.Name()))
+		is.NoErr(err)
+		assertPage(t, filepath.Join("man", e.Name()), string(bytes.TrimSpace(text))+"\n")
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -99,6 +99,7 @@
 	n.setTopology(n.store.Table())
 	n.makeCallSide()
 	n.makeControlSide()
+	n.registerMetrics()
 	return n
 }
 
