--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
 REVIVE = github.com/mgechev/revive@v1.17.0
 
-.PHONY: build demo test bench generate clean
+.PHONY: build demo play test bench generate clean
 
 build:
 	$(GO) build -o bin/jaypitch ./cmd/jaypitch
@@ -13,6 +13,9 @@
 demo: build
 	bin/demo -jaypitch bin/jaypitch -standin bin/standin
 
+play: build
+	bin/demo -hold -jaypitch bin/jaypitch -standin bin/standin
+
 test:
 	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "gofmt would change:"; echo "$$files"; exit 1; fi
 	$(GO) vet ./...
--- a/bench/spread.go
+++ b/bench/spread.go
@@ -92,13 +92,15 @@
 	line(fmt.Sprintf("%ssource_calls_per_second_%d", v.prefix, n), float64(after.calls-before.calls)/seconds, "1/s")
 	line(fmt.Sprintf("%scontrol_sent_bytes_per_node_second_%d", v.prefix, n), float64(after.sent-before.sent)/seconds/float64(n), "B/s")
 	line(fmt.Sprintf("%scontrol_received_bytes_per_node_second_%d", v.prefix, n), float64(after.received-before.received)/seconds/float64(n), "B/s")
-	if v.prefix != "" {
-		return nil
-	}
-	if err := measureEvidence(f, b, n); err != nil {
-		return err
+	if v.prefix == "" {
+		if err := measureEvidence(f, b, n); err != nil {
+			return err
+		}
+		if err := measureHerd(f, n); err != nil {
+			return err
+		}
 	}
-	return measureHerd(f, n)
+	return measureDead(f, v, n)
 }
 
 // startFleet publishes, starts every host and waits until all are ready.
@@ -256,6 +258,25 @@
 	return nil
 }
 
+// measureDead kills a tenth of the nodes at once, the first in the list among them, and times a change over the rest.
+func measureDead(f *scenario.Fleet, v variant, n int) error {
+	var live []*scenario.Host
+	for i, h := range f.Hosts {
+		if i%10 == 0 {
+			h.Node().Signal(syscall.SIGKILL)
+		} else {
+			live = append(live, h)
+		}
+	}
+	f.Hosts = live
+	took, err := converge(f, changeCount+2, subtree(changeCount+1))
+	if err != nil {
+		return err
+	}
+	line(fmt.Sprintf("%sconverge_all_ms_%d_tenth_killed", v.prefix, n), ms(slices.Max(took)), "ms")
+	return nil
+}
+
 // subtree is a team's subtree of a usual size; each version differs in one route.
 func subtree(version int) []byte {
 	var b strings.Builder
--- a/demo/main.go
+++ b/demo/main.go
@@ -61,8 +61,13 @@
 	var b scenario.Binaries
 	flag.StringVar(&b.Jaypitch, "jaypitch", "bin/jaypitch", "jaypitch program")
 	flag.StringVar(&b.Standin, "standin", "bin/standin", "stand-in program")
+	hold := flag.Bool("hold", false, "start one deployment, print its addresses and wait for an interrupt")
 	flag.Parse()
 	scenario.EndOnSignal()
+	if *hold {
+		holdOpen(kesongPerya(b))
+		return
+	}
 	started := time.Now()
 	failures := append(runDemo(kesongPerya(b)), runDemo(filoSolidario(b))...)
 	if len(failures) > 0 {
@@ -72,6 +77,26 @@
 	fmt.Printf("\nall steps held, in %s\n", time.Since(started).Round(time.Second))
 }
 
+// holdOpen starts a deployment and waits; the interrupt ends it.
+func holdOpen(d *demo) {
+	dir, err := os.MkdirTemp("", "jaypitch-demo-")
+	if err == nil {
+		defer os.RemoveAll(dir)
+		d.fleet, err = scenario.NewFleet(dir, d.binaries, scenario.NodeOptions{})
+	}
+	if err == nil {
+		defer d.fleet.Close()
+		err = d.start()
+	}
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	first := d.fleet.Hosts[0]
+	fmt.Printf("PLATFORM=%s\nNODE=%s\nCALLER=%s\n", d.fleet.Platform, first.Operator(), first.Caller())
+	select {}
+}
+
 func kesongPerya(b scenario.Binaries) *demo {
 	return &demo{name: "Kesong Perya", team: "fairs", text: fairs, binaries: b, departing: "hill_goats", route: "file_entry", kinds: []scenario.Kind{
 		{Name: "charge_fee", Path: "/fairs/charge_fee/charge?ms=4", Customer: "meadow", Target: 100 * time.Millisecond, Body: "fee"},
--- a/node/local.go
+++ b/node/local.go
@@ -176,6 +176,11 @@
 		}
 	} else {
 		f.Digest = digestOfTeams(t)
+		for name := range t.Teams {
+			if at := n.store.InForceSince(name); at.After(since) {
+				since = at
+			}
+		}
 	}
 	f.HeldUS = micro(n.now().Sub(since))
 	f.Enforced = enforced(t, s)
--- a/peer/client.go
+++ b/peer/client.go
@@ -46,6 +46,8 @@
 	// pingAfter is the silence after which a control connection is probed.
 	pingAfter = 5 * time.Second
 	pingWait  = 2 * time.Second
+	// maxClients bounds the clients kept; their connections are kept by the transport.
+	maxClients = 1024
 	// maxMessageBytes bounds a control message.
 	maxMessageBytes = 16 << 20
 	// compressFrom is the size from which messages are compressed.
@@ -81,6 +83,9 @@
 	defer c.mu.Unlock()
 	p := c.clients[address]
 	if p == nil {
+		if len(c.clients) >= maxClients {
+			clear(c.clients)
+		}
 		p = schemaconnect.NewPeerClient(c.http, "http://"+address, connect.WithSendGzip(),
 			connect.WithCompressMinBytes(compressFrom), connect.WithReadMaxBytes(maxMessageBytes))
 		c.clients[address] = p
@@ -88,17 +93,6 @@
 	return p
 }
 
-// Keep forgets the clients of addresses that are not listed any more.
-func (c *Clients) Keep(listed map[string]bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for a := range c.clients {
-		if !listed[a] {
-			delete(c.clients, a)
-		}
-	}
-}
-
 // Read counts what is received.
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
