One wait for all packages; scenario's file parted

Change: jaypitch.Sleep; processes and the client of scenario in files of their own.

Measured: no behaviour changed; all tests pass.

--- a/node/loops.go
+++ b/node/loops.go
@@ -58,7 +58,7 @@
 			return
 		case <-changed:
 		}
-		pause(ctx, batchPause)
+		_ = jaypitch.Sleep(ctx, batchPause)
 	}
 }
 
@@ -92,7 +92,7 @@
 			n.metrics.Paused()
 			n.poller.Recheck()
 		}
-		pause(ctx, tickPause)
+		_ = jaypitch.Sleep(ctx, tickPause)
 	}
 }
 
@@ -114,7 +114,7 @@
 			healthy = err == nil
 			n.log.Info("health endpoint", zap.Bool("healthy", healthy), zap.Error(err))
 		}
-		pause(ctx, micros(n.settings.GetBackend().GetProbeUs()))
+		_ = jaypitch.Sleep(ctx, micros(n.settings.GetBackend().GetProbeUs()))
 	}
 }
 
@@ -128,7 +128,7 @@
 	}
 	s := n.settings.GetPlatform()
 	spread := time.Duration(float64(s.GetFleetSize()) / float64(s.GetCallsPerSecond()) * float64(time.Second))
-	pause(ctx, rand.N(spread+1))
+	_ = jaypitch.Sleep(ctx, rand.N(spread+1))
 	key := jaypitch.HostPrefix + n.settings.GetNode().GetDataCentre()
 	wait := joinRetry
 	for ctx.Err() == nil && !n.topology.Load().Listed {
@@ -137,7 +137,7 @@
 			n.store.Merge(d)
 			n.apply()
 		}
-		pause(ctx, rand.N(2*wait))
+		_ = jaypitch.Sleep(ctx, rand.N(2*wait))
 		wait = min(2*wait, maxJoinRetry)
 	}
 }
@@ -163,12 +163,3 @@
 	defer r.node.wg.Done()
 	r.reader.Run(ctx)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/peer/fetcher.go
+++ b/peer/fetcher.go
@@ -143,7 +143,7 @@
 		if r.Msg.GetRetryAfterUs() == 0 {
 			return nil
 		}
-		if err := sleep(ctx, time.Duration(r.Msg.GetRetryAfterUs())*time.Microsecond); err != nil {
+		if err := jaypitch.Sleep(ctx, time.Duration(r.Msg.GetRetryAfterUs())*time.Microsecond); err != nil {
 			return err
 		}
 		versions = f.store.Wants(versions)
@@ -214,14 +214,3 @@
 	defer f.mu.Unlock()
 	f.corrupt++
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/peer/poller.go
+++ b/peer/poller.go
@@ -163,7 +163,7 @@
 func (p *Poller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.review(ctx)
-		_ = sleep(ctx, reviewPause)
+		_ = jaypitch.Sleep(ctx, reviewPause)
 	}
 }
 
@@ -268,7 +268,7 @@
 	p := r.poller
 	defer p.wg.Done()
 	for ctx.Err() == nil {
-		if sleep(ctx, p.repair/2+rand.N(p.repair)) != nil {
+		if jaypitch.Sleep(ctx, p.repair/2+rand.N(p.repair)) != nil {
 			return
 		}
 		m, ok := p.topology().Random(rand.Uint64())
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -5,9 +5,7 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -77,19 +75,10 @@
 	SharedBackend bool
 }
 
-// Process is a started program.
-type Process struct {
-	cmd  *exec.Cmd
-	done chan struct{}
-	err  error
-	log  string
-}
-
 var (
 	fleets atomic.Int64
 	// open holds the fleets that were not closed.
-	open   sync.Map
-	client = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}
+	open sync.Map
 )
 
 const (
@@ -403,76 +392,3 @@
 	}
 	return send(r, nil)
 }
-
-// run waits for the end of the process.
-func (p *Process) run() {
-	p.err = p.cmd.Wait()
-	close(p.done)
-}
-
-// Signal sends a signal to the process.
-func (p *Process) Signal(s syscall.Signal) {
-	_ = p.cmd.Process.Signal(s)
-}
-
-// Kill ends the process and waits for its end.
-func (p *Process) Kill() {
-	_ = p.cmd.Process.Kill()
-	<-p.done
-}
-
-// Await waits for the end of the process and returns its exit status.
-func (p *Process) Await(limit time.Duration) (int, error) {
-	t := time.NewTimer(limit)
-	defer t.Stop()
-	select {
-	case <-p.done:
-		return p.cmd.ProcessState.ExitCode(), nil
-	case <-t.C:
-		return 0, fmt.Errorf("process %d still runs after %s", p.cmd.Process.Pid, limit)
-	}
-}
-
-// Pid returns the process id.
-func (p *Process) Pid() int {
-	return p.cmd.Process.Pid
-}
-
-func getJSON(url string, into any) error {
-	r, err := http.NewRequest(http.MethodGet, url, nil)
-	if err != nil {
-		return fmt.Errorf("asking %q: %w", url, err)
-	}
-	return send(r, into)
-}
-
-func postJSON(url string, v any) error {
-	body, err := json.Marshal(v)
-	if err != nil {
-		return fmt.Errorf("encoding for %q: %w", url, err)
-	}
-	r, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return fmt.Errorf("asking %q: %w", url, err)
-	}
-	return send(r, nil)
-}
-
-func send(r *http.Request, into any) error {
-	a, err := client.Do(r)
-	if err != nil {
-		return fmt.Errorf("asking %q: %w", r.URL, err)
-	}
-	defer a.Body.Close()
-	body, err := io.ReadAll(a.Body)
-	if err != nil {
-		return fmt.Errorf("reading %q: %w", r.URL, err)
-	}
-	if a.StatusCode != http.StatusOK {
-		return fmt.Errorf("%q answered %d: %s", r.URL, a.StatusCode, body)
-	}
-	if into == nil {
-		return nil
-	}
-	return json.Unmarshal(body, into)
-}
