--- a/peer/contract_test.go
+++ b/peer/contract_test.go
@@ -276,6 +276,15 @@
 		err := NewFetcher(own.store).Fetch(ctx, client, []*schema.Version{{Key: "teams/other", Revision: 1}})
 		is.New(t).True(err != nil)
 	})
+	t.Run("a whole body that isn't what was announced is an error", func(t *testing.T) {
+		is := is.New(t)
+		d := document(3, "")
+		f := NewFetcher(settings.NewStore(time.Now))
+		v := &schema.Version{Key: d.Key, Revision: 3, Digest: d.Digest[:]}
+		is.NoErr(f.takeIn([]*schema.Body{{Version: v, Text: d.Text}}))
+		is.True(f.takeIn([]*schema.Body{{Version: v, Text: append(d.Text, '\n')}}) != nil)
+		is.Equal(f.Corrupt(), int64(1))
+	})
 	t.Run("the budget for whole bodies tells when to come back", func(t *testing.T) {
 		is := is.New(t)
 		s := NewServer(l, l.store, NewClients(&Traffic{}), time.Now)
--- a/spread/topology_test.go
+++ b/spread/topology_test.go
@@ -221,6 +221,7 @@
 		{"paused", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}, {9000, "tick", 0}}, false, false},
 		{"paused, not ticked yet", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}, {9000, "look", 0}}, true, false},
 		{"paused, an answer from before", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}, {9000, "tick", 0}, {9001, "yes a", 300}}, false, false},
+		{"paused, the source's answer from before", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}, {9000, "tick", 0}, {9001, "source", 300}, {9002, "no a", 9001}}, false, false},
 		{"paused and asked", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}, {9000, "tick", 0}, {9010, "yes a", 9001}}, true, true},
 		{"paused, bounded wait", 5, []confirmEvent{{100, "yes a", 0}, {200, "yes b", 0}, {9000, "tick", 0}, {10001, "tick", 0}}, false, true},
 	}
