--- a/standin/server.go
+++ b/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -109,17 +110,28 @@
 	}
 	defer v.end()
 	body, _ := io.ReadAll(r.Body)
+	ctx, cancel := withDeadline(r)
+	defer cancel()
 	t := time.NewTimer(v.workTime(r, s))
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-r.Context().Done():
+	case <-ctx.Done():
 		v.cancelled()
-		return
+		panic(http.ErrAbortHandler)
 	}
 	v.answer(w, r, s, body)
 }
 
+// withDeadline ends a request's context when the time left that it tells has passed.
+func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
+	left, err := strconv.ParseInt(r.Header.Get(jaypitch.HeaderTimeLeft), 10, 64)
+	if err != nil {
+		return r.Context(), func() {}
+	}
+	return context.WithTimeout(r.Context(), time.Duration(left)*time.Microsecond)
+}
+
 func (v *Server) answer(w http.ResponseWriter, r *http.Request, s ServerSettings, body []byte) {
 	w.Header().Set("X-Server", v.name)
 	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
--- /dev/null
+++ b/standin/server_test.go
@@ -0,0 +1,25 @@
+package standin
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/jaypitch/jaypitch"
+)
+
+// TestDeadline checks that a request whose time left has passed is given up without an answer.
+func TestDeadline(t *testing.T) {
+	is := is.New(t)
+	v := NewServer("s", 1, ServerSettings{})
+	server := httptest.NewServer(v)
+	defer server.Close()
+	r, err := http.NewRequest(http.MethodGet, server.URL+"/x?ms=3600000", nil)
+	is.NoErr(err)
+	r.Header.Set(jaypitch.HeaderTimeLeft, "1000")
+	_, err = http.DefaultClient.Do(r)
+	is.True(err != nil)
+	is.Equal(v.Counts().Cancelled, int64(1))
+}
