A body crosses to another data centre only once a full server's sidecar has room

Change: Expect: 100-continue between sidecars where the chosen server is in another data centre and had no free slot; the receiver asks for the body once the request is queued or admitted. A body never asked for surely did not run. A caller that leaves before a request is sent no longer marks the sidecar as dead.

--- a/hop/client.go
+++ b/hop/client.go
@@ -82,13 +82,17 @@
 		h = http.Header{}
 	}
 	h[headerPass] = []string{pass(f, c.now())}
-	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: f.Body}
+	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: f.Body, AskFirst: f.AskFirst}
 }
 
 // failed says what a failure to pass a request on means.
 func failed(ctx context.Context, err error) *jaypitch.Reply {
 	var e *http1.Error
 	switch {
+	case errors.As(err, &e) && !e.Sent && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return jaypitch.NotRunReply(jaypitch.CodeDeadline, "the sidecar did not take the request in time")
+	case errors.As(err, &e) && !e.Sent && ctx.Err() != nil && !errors.Is(context.Cause(ctx), jaypitch.ErrNoLife):
+		return jaypitch.NotRunReply(jaypitch.CodeCallerGone, "the caller left before the request was sent")
 	case errors.As(err, &e) && !e.Sent:
 		return jaypitch.NotRunReply(jaypitch.CodeUnreachable, "no connection to the sidecar: %s", err)
 	case errors.Is(context.Cause(ctx), jaypitch.ErrNoLife):
--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -148,3 +149,49 @@
 		}
 	})
 }
+
+// asking is a receiver that refuses, or reads the body that is held back.
+type asking struct {
+	refuses bool
+	body    []byte
+	err     error
+}
+
+func (a *asking) Serve(_ context.Context, f *jaypitch.Forward) *jaypitch.Reply {
+	if a.refuses {
+		return jaypitch.NotRunReply(jaypitch.CodeOverloaded, "full")
+	}
+	a.body, a.err = f.ReadBody()
+	return &jaypitch.Reply{Ran: jaypitch.DidRun, Status: http.StatusOK, Header: http.Header{}, Body: a.body}
+}
+
+func TestABodyIsHeldBackUntilThereIsRoom(t *testing.T) {
+	for _, refuses := range []bool{true, false} {
+		t.Run(fmt.Sprintf("refused %v", refuses), func(t *testing.T) {
+			is := is.New(t)
+			a := &asking{refuses: refuses}
+			s := httptest.NewServer(NewServer(a, "Id", time.Now, func() bool { return false }, func(string, int64) {}, http.NotFoundHandler()))
+			defer s.Close()
+			f := request()
+			f.AskFirst, f.Body, f.Deadline = true, []byte(strings.Repeat("x", 100_000)), time.Now().Add(time.Minute)
+			r := NewClient(http1.NewPool(time.Now), time.Now).Pass(context.Background(), strings.TrimPrefix(s.URL, "http://"), f)
+			if refuses {
+				is.Equal(r.Ran, jaypitch.NotRun)
+				is.Equal(r.Code, jaypitch.CodeOverloaded)
+				return
+			}
+			is.NoErr(a.err)
+			is.Equal(r.Ran, jaypitch.DidRun)
+			is.Equal(r.Body, f.Body)
+		})
+	}
+}
+
+func TestACallerThatLeavesSaysNothingOfTheSidecar(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r := NewClient(http1.NewPool(time.Now), fixed).Pass(ctx, "127.0.0.1:1", request())
+	is.Equal(r.Ran, jaypitch.NotRun)
+	is.Equal(r.Code, jaypitch.CodeCallerGone)
+}
--- a/hop/server.go
+++ b/hop/server.go
@@ -25,6 +25,17 @@
 	other    http.Handler
 }
 
+// heldBack is a body that its sender holds back until it is asked for.
+type heldBack struct {
+	request *http.Request
+	control *http.ResponseController
+	now     func() time.Time
+}
+
+// bodyWait bounds the time for a body that was asked for: a round trip of a region and one lost packet, which is sent again after
+// 200 ms; a slot may be held meanwhile.
+const bodyWait = 400 * time.Millisecond
+
 // NewServer makes the handler; idHeader names the header with a request's id, closing says whether connections are to be given up, heard is told what each sender
 // holds, and other answers what isn't a request passed on.
 func NewServer(r Receiver, idHeader string, now func() time.Time, closing func() bool, heard func(remote string, revision int64), other http.Handler) *Server {
@@ -37,17 +48,21 @@
 		s.other.ServeHTTP(w, r)
 		return
 	}
-	if err := s.write(w, s.serve(r)); err != nil {
+	if err := s.write(w, s.serve(w, r)); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
-func (s *Server) serve(r *http.Request) *jaypitch.Reply {
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) *jaypitch.Reply {
 	f, e := s.forward(r)
 	if e != nil {
 		return jaypitch.NotRunReply(e.Code, "%s", e.Reason)
 	}
 	s.heard(r.RemoteAddr, f.Revision)
+	if r.Header.Get("Expect") != "" {
+		f.ReadBody = (&heldBack{request: r, control: http.NewResponseController(w), now: s.now}).read
+		return s.receiver.Serve(r.Context(), f)
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return jaypitch.NotRunReply(jaypitch.CodeBodyCut, "the body ended early: %s", err)
@@ -56,6 +71,18 @@
 	return s.receiver.Serve(r.Context(), f)
 }
 
+// read asks the sender for the body and reads it; the HTTP server asks at the first read.
+func (b *heldBack) read() ([]byte, error) {
+	if err := b.control.SetReadDeadline(b.now().Add(bodyWait)); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(b.request.Body)
+	if err != nil {
+		return nil, err
+	}
+	return body, b.control.SetReadDeadline(time.Time{})
+}
+
 // forward reads what the sending sidecar says of the request.
 func (s *Server) forward(r *http.Request) (*jaypitch.Forward, *jaypitch.Error) {
 	f := &jaypitch.Forward{ID: r.Header.Get(s.idHeader), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: Clean(r.Header)}
--- a/http1/client.go
+++ b/http1/client.go
@@ -19,7 +19,7 @@
 
 // Error is a failed request.
 type Error struct {
-	// Sent is false only if no byte of the request was sent.
+	// Sent is false only if no byte of the request was sent, or its body was held back.
 	Sent bool
 	Err  error
 }
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -22,6 +22,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// AskFirst sends the body only once the other side asks for it (RFC 9110, section 10.1.1), so that a refusal costs no body.
+	AskFirst bool
 	// Accepts says whether an answer's head belongs to this request; one that doesn't is skipped. Nil accepts all.
 	Accepts func(http.Header) bool
 }
@@ -38,6 +40,16 @@
 	written     atomic.Int64
 }
 
+// exchange is one request and its answer on a connection.
+type exchange struct {
+	conn    *Conn
+	request *Request
+	// waiting is true while the body is held back until the other side asks for it.
+	waiting bool
+	// writer sends the body beside; nil if it was sent with the head, or not at all.
+	writer *bodyWriter
+}
+
 // body reads an answer's body and gives the connection back, or closes it, at its end.
 type body struct {
 	io.ReadCloser
@@ -74,49 +86,63 @@
 // do sends a request and reads the answer's head.
 func (c *Conn) do(ctx context.Context, p *Pool, r *Request) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, c.abort)
-	w, err := c.send(r)
+	x := &exchange{conn: c, request: r, waiting: r.AskFirst && len(r.Body) > 0}
+	err := x.send()
 	if err != nil {
 		stop()
 		c.close()
-		return nil, &Error{Sent: c.written.Load() > 0, Err: err}
+		return nil, &Error{Sent: !x.waiting && c.written.Load() > 0, Err: err}
 	}
-	a, err := c.receive(r)
+	a, err := x.receive()
 	if err != nil {
 		stop()
 		c.close()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Error{Sent: true, Err: err}
+		return nil, &Error{Sent: !x.waiting, Err: err}
 	}
-	a.Body = &body{ReadCloser: a.Body, conn: c, pool: p, stop: stop, writer: w, keep: p.keepUntil(a)}
+	b := &body{ReadCloser: a.Body, conn: c, pool: p, stop: stop, writer: x.writer}
+	if !x.waiting {
+		b.keep = p.keepUntil(a)
+	}
+	a.Body = b
 	return a, nil
 }
 
-// send writes the head and the body; a long body is written on while the answer is read.
-func (c *Conn) send(r *Request) (*bodyWriter, error) {
+// send writes the head and, unless it has to wait, the body.
+func (x *exchange) send() error {
+	r := x.request
 	var b strings.Builder
 	b.Grow(512 + len(r.Body))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&b); err != nil {
-		return nil, err
+		return err
+	}
+	if x.waiting {
+		b.WriteString("Expect: 100-continue\r\n")
 	}
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	inline := len(r.Body) <= inlineBody
+	inline := !x.waiting && len(r.Body) <= inlineBody
 	if inline {
 		b.Write(r.Body)
 	}
-	n, err := io.WriteString(c.net, b.String())
-	c.written.Add(int64(n))
-	if err != nil || inline {
-		return nil, err
+	n, err := io.WriteString(x.conn.net, b.String())
+	x.conn.written.Add(int64(n))
+	if err != nil || inline || x.waiting {
+		return err
 	}
-	w := &bodyWriter{conn: c, data: r.Body, done: make(chan error, 1)}
-	go w.run()
-	return w, nil
+	x.sendBody()
+	return nil
+}
+
+// sendBody writes the body while the answer is read.
+func (x *exchange) sendBody() {
+	x.writer = &bodyWriter{conn: x.conn, data: x.request.Body, done: make(chan error, 1)}
+	go x.writer.run()
 }
 
 func (w *bodyWriter) run() {
@@ -137,8 +163,9 @@
 	}
 }
 
-// receive reads the head of the answer to r.
-func (c *Conn) receive(r *Request) (*http.Response, error) {
+// receive reads the head of the answer, and sends a body that is asked for.
+func (x *exchange) receive() (*http.Response, error) {
+	c, r := x.conn, x.request
 	for range maxSkipped {
 		c.limited.N = maxHeadBytes
 		a, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
@@ -149,6 +176,10 @@
 		switch {
 		case a.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitch
+		case a.StatusCode == http.StatusContinue && x.waiting:
+			x.waiting = false
+			x.sendBody()
+			continue
 		case a.StatusCode < http.StatusOK:
 			continue
 		case r.Accepts == nil || r.Accepts(a.Header):
--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -3,19 +3,22 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
 
-// reading makes a connection that has only bytes to be read.
-func reading(text string) *Conn {
+// receiving makes an exchange on a connection that has only bytes to be read.
+func receiving(text string) *exchange {
 	l := &io.LimitedReader{R: strings.NewReader(text)}
-	return &Conn{limited: l, reader: bufio.NewReader(l)}
+	return &exchange{conn: &Conn{limited: l, reader: bufio.NewReader(l)}, request: &Request{Method: http.MethodGet, Accepts: own}}
 }
 
 // own accepts answers to one request.
@@ -41,7 +44,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			a, err := reading(c.text).receive(&Request{Method: http.MethodGet, Accepts: own})
+			a, err := receiving(c.text).receive()
 			if c.body == "" {
 				is.True(err != nil)
 				return
@@ -57,7 +60,7 @@
 func FuzzReceive(f *testing.F) {
 	f.Add("HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 2\r\n\r\nok")
 	f.Fuzz(func(t *testing.T, text string) {
-		a, err := reading(text).receive(&Request{Method: http.MethodGet, Accepts: own})
+		a, err := receiving(text).receive()
 		if err != nil {
 			return
 		}
@@ -73,3 +76,83 @@
 		}
 	})
 }
+
+// TestABodyHeldBack speaks with a server that refuses, asks for the body, or hangs up.
+func TestABodyHeldBack(t *testing.T) {
+	const refusal = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno"
+	for name, c := range map[string]struct {
+		answers []string
+		body    string
+		got     string
+		sent    bool
+	}{
+		"refused":             {[]string{refusal}, "no", "", false},
+		"asked for":           {[]string{"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}, "ok", "body", true},
+		"the server hangs up": {nil, "", "", false},
+		"hangs up after it":   {[]string{"HTTP/1.1 100 Continue\r\n\r\n"}, "", "body", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScript(t, c.answers)
+			a, err := NewPool(time.Now).Do(context.Background(), s.address, &Request{Method: http.MethodPost, Target: "/", Host: "h", Body: []byte("body"), AskFirst: true})
+			if c.body == "" {
+				var e *Error
+				is.True(errors.As(err, &e))
+				is.Equal(e.Sent, c.sent)
+			} else {
+				is.NoErr(err)
+				body, err := io.ReadAll(a.Body)
+				is.NoErr(err)
+				is.Equal(string(body), c.body)
+				is.NoErr(a.Body.Close())
+			}
+			is.Equal(<-s.got, c.got)
+		})
+	}
+}
+
+// script is a server for one request that writes given texts: the first after the head, the next after four bytes of body.
+type script struct {
+	listener net.Listener
+	address  string
+	answers  []string
+	got      chan string
+}
+
+func newScript(t *testing.T, answers []string) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &script{listener: l, address: l.Addr().String(), answers: answers, got: make(chan string, 1)}
+	go s.run()
+	return s
+}
+
+func (s *script) run() {
+	c, err := s.listener.Accept()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	r, err := http.ReadRequest(in)
+	if err != nil || r.Header.Get("Expect") != "100-continue" {
+		s.got <- "no expectation"
+		return
+	}
+	got := ""
+	for i, text := range s.answers {
+		if _, err := io.WriteString(c, text); err != nil {
+			break
+		}
+		if i == 0 && strings.Contains(text, " 100 ") {
+			body := make([]byte, r.ContentLength)
+			n, _ := io.ReadFull(in, body)
+			got = string(body[:n])
+		}
+	}
+	s.got <- got
+}
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -106,6 +106,14 @@
 		reply.ComeBack = back
 		return reply
 	}
+	if f.ReadBody != nil {
+		body, err := f.ReadBody()
+		if err != nil {
+			r.giveUp(w, run)
+			return refusal(jaypitch.Errorf(jaypitch.CodeBodyCut, "the body that was asked for did not come: %s", err))
+		}
+		f.Body = body
+	}
 	if run {
 		return nil
 	}
@@ -125,19 +133,7 @@
 		e = jaypitch.Errorf(jaypitch.CodeDeadline, "the deadline passed in the queue")
 	}
 	if e != nil {
-		r.mu.Lock()
-		waiting := r.slots.Cancel(w)
-		r.mu.Unlock()
-		if !waiting {
-			// The slot was granted at the same moment, or the refusal came from the queue itself.
-			select {
-			case granted := <-w.Granted:
-				if granted == nil {
-					r.finish(w, 0)
-				}
-			default:
-			}
-		}
+		r.giveUp(w, false)
 		return refusal(e)
 	}
 	if e := r.gate(f); e != nil {
@@ -147,6 +143,27 @@
 	return nil
 }
 
+// giveUp takes a request out of the queue, or gives back the slot that it holds.
+func (r *Receiver) giveUp(w *admit.Wish, holds bool) {
+	if !holds {
+		r.mu.Lock()
+		waiting := r.slots.Cancel(w)
+		r.mu.Unlock()
+		if waiting {
+			return
+		}
+		// The slot was granted at the same moment, or the refusal came from the queue itself.
+		select {
+		case e := <-w.Granted:
+			holds = e == nil
+		default:
+		}
+	}
+	if holds {
+		r.finish(w, 0)
+	}
+}
+
 // gate checks what is held here: no request reaches a server that leaves or left.
 func (r *Receiver) gate(f *jaypitch.Forward) *jaypitch.Error {
 	held := r.state.Revision()
--- a/inbound/receiver_test.go
+++ b/inbound/receiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -218,3 +219,38 @@
 	times, _ := g.app.Ran("two")
 	is.Equal(times, 0)
 }
+
+func TestABodyThatIsHeldBack(t *testing.T) {
+	read := func(body string, err error) (*int, func() ([]byte, error)) {
+		n := 0
+		return &n, func() ([]byte, error) { n++; return []byte(body), err }
+	}
+	t.Run("it is read once the request is admitted", func(t *testing.T) {
+		is := is.New(t)
+		g := newRig(t, 1)
+		f := forwarded("one", "")
+		_, f.ReadBody = read("late", nil)
+		is.Equal(string(g.receiver.Serve(context.Background(), f).Body), "lateok")
+	})
+	t.Run("a refused one is not asked for", func(t *testing.T) {
+		is := is.New(t)
+		g := newRig(t, 1)
+		g.receiver.Stop()
+		f := forwarded("one", "")
+		n, body := read("late", nil)
+		f.ReadBody = body
+		is.Equal(g.receiver.Serve(context.Background(), f).Ran, jaypitch.NotRun)
+		is.Equal(*n, 0)
+	})
+	t.Run("one that does not come gives the slot back", func(t *testing.T) {
+		is := is.New(t)
+		g := newRig(t, 1)
+		f := forwarded("one", "")
+		_, f.ReadBody = read("", io.ErrUnexpectedEOF)
+		r := g.receiver.Serve(context.Background(), f)
+		is.Equal(r.Ran, jaypitch.NotRun)
+		is.Equal(r.Code, jaypitch.CodeBodyCut)
+		running, waiting, _ := g.receiver.Counts()
+		is.Equal(running+waiting, 0)
+	})
+}
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -103,6 +103,7 @@
 		own.Server = pick.Server.GetId()
 		own.Revision = d.state.Revision()
 		own.StartBy = d.startBy(a, f, pick)
+		own.AskFirst = pick.AskFirst
 		reply := d.pass(ctx, &own, pick.Server)
 		a.passes++
 		d.finish(pick.Server, rule.GetName(), reply)
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -71,6 +71,9 @@
 	Server *schema.MeshServer
 	// Spare is how much longer the next best server is expected to take.
 	Spare time.Duration
+	// AskFirst is true if the body had better be held back until the sidecar beside the server has room: it crosses to another
+	// data centre, and all slots were in use.
+	AskFirst bool
 	// RoomIn is after how long the first of the servers expects room, if all of them are full; else zero.
 	RoomIn time.Duration
 }
@@ -103,6 +106,8 @@
 	// (docs/design/5-serving.md); the operators' prices alone, 25 kB for one answer, would give 0.04.
 	kilobyteCost = 0.15
 	kilobyte     = 1000
+	// askFirstBytes is the length from which a body is held back: what the refusal's new connection costs, a handshake and slow start.
+	askFirstBytes = 1000
 	// headBytes is the size of both heads of a request that is passed on, in bytes.
 	headBytes = 700
 	// jitter spreads the choices of sidecars that were told the same.
@@ -148,6 +153,7 @@
 	}
 	p.RoomIn = 0
 	p.Spare = time.Duration(math.MaxInt64)
+	p.AskFirst = q.Body >= askFirstBytes && p.Server.GetDataCentre() != c.dataCentre && c.server(p.Server, now).used(now) >= float64(p.Server.GetSlots())
 	if !math.IsInf(next, 1) {
 		p.Spare = time.Duration(next-best)*time.Microsecond + c.resend(p.Server, q)
 	}
--- a/route/chooser_test.go
+++ b/route/chooser_test.go
@@ -190,3 +190,24 @@
 	is.True(q.Take("x", 1, start))
 	is.True(!q.Take("x", 1, start.Add(10*time.Second)))
 }
+
+func TestABodyIsHeldBackOnlyWhereThatPays(t *testing.T) {
+	for name, c := range map[string]struct {
+		here, inUse, body int
+		want              bool
+	}{
+		"another data centre, no free slot": {0, 10, 4000, true},
+		"a free slot":                       {0, 9, 4000, false},
+		"a small body":                      {0, 10, 100, false},
+		"the own data centre":               {1, 10, 4000, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ch, s := newChooser(), meshService(c.here, 1-c.here)
+			tell(ch, s.Servers[0], jaypitch.Load{InProgress: c.inUse}, jaypitch.Reply{Ran: jaypitch.DidRun}, start)
+			q := query
+			q.Body = c.body
+			is.Equal(ch.Choose(s, q, start).AskFirst, c.want)
+		})
+	}
+}
