A request at a silent sidecar goes to a second one and isn't given up before an answer

Change: a missed sign of life starts a second hand-over of an idempotent request, within attempts and budget, and leaves the first running; the first whole answer ends the other.

Ruled out: the timeout of the rule and the caller's deadline (5 s); the end of the grace time (6 s).

--- a/forward.go
+++ b/forward.go
@@ -66,6 +66,13 @@
 	ComeBack time.Duration
 }
 
+// Discard gives up what is left of a reply that isn't used; a nil reply has nothing.
+func (r *Reply) Discard() {
+	if r != nil && r.Stream != nil {
+		_ = r.Stream.Close() // nothing of it was told to anybody
+	}
+}
+
 // Stream is the rest of a long answer.
 type Stream interface {
 	Read(p []byte) (int, error)
--- a/hop/client.go
+++ b/hop/client.go
@@ -91,12 +91,12 @@
 	switch {
 	case errors.As(err, &e) && !e.Sent && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return jaypitch.NotRunReply(jaypitch.CodeDeadline, "the sidecar did not take the request in time")
-	case errors.As(err, &e) && !e.Sent && ctx.Err() != nil && !errors.Is(context.Cause(ctx), jaypitch.ErrNoLife):
+	case errors.As(err, &e) && !e.Sent && ctx.Err() != nil:
 		return jaypitch.NotRunReply(jaypitch.CodeCallerGone, "the caller left before the request was sent")
 	case errors.As(err, &e) && !e.Sent:
 		return jaypitch.NotRunReply(jaypitch.CodeUnreachable, "no connection to the sidecar: %s", err)
-	case errors.Is(context.Cause(ctx), jaypitch.ErrNoLife):
-		return jaypitch.UnknownReply(jaypitch.CodeUnknown, "%s", jaypitch.ErrNoLife)
+	case errors.Is(context.Cause(ctx), jaypitch.ErrAnswered):
+		return jaypitch.UnknownReply(jaypitch.CodeCallerGone, "%s", jaypitch.ErrAnswered)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return jaypitch.UnknownReply(jaypitch.CodeAnswerTooLate, "the sidecar did not answer in time")
 	case ctx.Err() != nil:
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -33,15 +33,10 @@
 	mu      sync.Mutex
 	chooser *route.Chooser
 	quota   *route.Quota
-	// underWay holds what ends the passes of idempotent requests, by server.
+	// underWay holds the hand-overs of idempotent requests, by server.
 	underWay map[string]map[*underWay]bool
 }
 
-// underWay is one pass that may be given up for another.
-type underWay struct {
-	cancel context.CancelCauseFunc
-}
-
 // attempts is what has been tried for one request.
 type attempts struct {
 	rule    *mesh.Rule
@@ -99,15 +94,8 @@
 			a.noServer(pick)
 			break
 		}
-		own := *f
-		own.Server = pick.Server.GetId()
-		own.Revision = d.state.Revision()
-		own.StartBy = d.startBy(a, f, pick)
-		own.AskFirst = pick.AskFirst
-		reply := d.pass(ctx, &own, pick.Server)
-		a.passes++
-		d.finish(pick.Server, rule.GetName(), reply)
-		d.record(&own, reply, a.passes)
+		own := d.forwardTo(a, f, pick)
+		reply := d.pass(ctx, a, own, pick.Server)
 		if !d.again(ctx, a, f, pick.Server.GetId(), reply) {
 			break
 		}
@@ -115,6 +103,16 @@
 	return a.result()
 }
 
+// forwardTo makes what is handed to the sidecar beside the chosen server.
+func (d *Dispatcher) forwardTo(a *attempts, f *jaypitch.Forward, pick route.Pick) *jaypitch.Forward {
+	own := *f
+	own.Server = pick.Server.GetId()
+	own.Revision = d.state.Revision()
+	own.StartBy = d.startBy(a, f, pick)
+	own.AskFirst = pick.AskFirst
+	return &own
+}
+
 func (d *Dispatcher) first(service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -144,23 +142,48 @@
 	return by
 }
 
+// ended notes the end of a hand-over that says nothing of the sidecar.
+func (d *Dispatcher) ended(v *schema.MeshServer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.chooser.End(v, d.now())
+}
+
 func (d *Dispatcher) finish(v *schema.MeshServer, rule string, r *jaypitch.Reply) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.chooser.Finish(v, rule, r, d.now())
 }
 
-// pass hands a request to the sidecar beside a server.
-func (d *Dispatcher) pass(ctx context.Context, f *jaypitch.Forward, v *schema.MeshServer) *jaypitch.Reply {
-	if v.GetAddress() == d.own {
-		return d.local.Serve(ctx, f)
+// pass hands a request over and notes what became of it; if the sidecar goes silent, a spare may answer in its place.
+func (d *Dispatcher) pass(ctx context.Context, a *attempts, f *jaypitch.Forward, v *schema.MeshServer) *jaypitch.Reply {
+	if v.GetAddress() == d.own || !f.Idempotent {
+		r := d.send(ctx, f, v)
+		a.passes++
+		d.finish(v, a.rule.GetName(), r)
+		d.record(f, r, a.passes)
+		return r
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
+	own, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if f.Idempotent {
-		u := &underWay{cancel: cancel}
-		d.enter(v.GetId(), u)
-		defer d.leave(v.GetId(), u)
+	u := &underWay{ctx: ctx, cancel: cancel, attempts: a, forward: f}
+	d.enter(v.GetId(), u)
+	r := d.send(own, f, v)
+	s := d.leave(v.GetId(), u)
+	if !stopped(own) {
+		d.finish(v, a.rule.GetName(), r)
+	} else {
+		d.ended(v)
+	}
+	a.passes++
+	d.record(f, r, a.passes)
+	return s.settle(a, r)
+}
+
+// send hands a request to the sidecar beside a server.
+func (d *Dispatcher) send(ctx context.Context, f *jaypitch.Forward, v *schema.MeshServer) *jaypitch.Reply {
+	if v.GetAddress() == d.own {
+		return d.local.Serve(ctx, f)
 	}
 	return d.hop.Pass(ctx, d.peer(v.GetAddress()), f)
 }
@@ -173,37 +196,23 @@
 }
 
 // Alive notes a sign of life of the sidecar beside a server, or its absence; then idempotent requests under way
-// there are given up, to be tried elsewhere. It returns true if the sidecar has just been taken for dead.
+// there are tried elsewhere as well. It returns true if the sidecar has just been taken for dead.
 func (d *Dispatcher) Alive(id string, alive bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	died := d.chooser.Alive(id, alive, d.now())
 	if died {
 		for u := range d.underWay[id] {
-			u.cancel(jaypitch.ErrNoLife)
+			if s := d.spareFor(id, u); s != nil {
+				ctx, cancel := context.WithCancel(u.ctx)
+				s.cancel = cancel
+				go s.run(ctx)
+			}
 		}
 	}
 	return died
 }
 
-func (d *Dispatcher) enter(id string, u *underWay) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.underWay[id] == nil {
-		d.underWay[id] = map[*underWay]bool{}
-	}
-	d.underWay[id][u] = true
-}
-
-func (d *Dispatcher) leave(id string, u *underWay) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.underWay[id], u)
-	if len(d.underWay[id]) == 0 {
-		delete(d.underWay, id)
-	}
-}
-
 // again decides whether a further attempt is made after a reply.
 func (d *Dispatcher) again(ctx context.Context, a *attempts, f *jaypitch.Forward, server string, r *jaypitch.Reply) bool {
 	a.keep(r)
@@ -234,15 +243,19 @@
 func (d *Dispatcher) mayRepeat(a *attempts, f *jaypitch.Forward, r *jaypitch.Reply) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.now()
-	if f.Deadline.Sub(now) < d.chooser.Mean(a.rule.GetName()) {
+	if r.Ran == jaypitch.DidRun && d.chooser.CommonFailure(a.rule.GetName()) {
 		return false
 	}
-	if r.Ran == jaypitch.DidRun && d.chooser.CommonFailure(a.rule.GetName()) {
+	return d.budgeted(a, f)
+}
+
+// budgeted takes one more arrival out of the budget, if there is time for it. The caller holds the lock.
+func (d *Dispatcher) budgeted(a *attempts, f *jaypitch.Forward) bool {
+	now := d.now()
+	if f.Deadline.Sub(now) < d.chooser.Mean(a.rule.GetName()) {
 		return false
 	}
-	t := d.state.Table()
-	return d.quota.Take(a.service, t.Hosts(), now)
+	return d.quota.Take(a.service, d.state.Table().Hosts(), now)
 }
 
 // noServer notes why no server could be chosen.
@@ -258,9 +271,7 @@
 	if a.kept != nil && r.Ran != jaypitch.DidRun && a.kept.Ran != jaypitch.NotRun {
 		return
 	}
-	if a.kept != nil && a.kept.Stream != nil {
-		_ = a.kept.Stream.Close()
-	}
+	a.kept.Discard()
 	a.kept = r
 }
 
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -259,6 +259,11 @@
 	}
 }
 
+// End notes that a request that went to a server ended here, with nothing learnt of the server.
+func (c *Chooser) End(v *schema.MeshServer, now time.Time) {
+	c.server(v, now).inFlight--
+}
+
 // Finish notes what became of a request that went to a server.
 func (c *Chooser) Finish(v *schema.MeshServer, rule string, r *jaypitch.Reply, now time.Time) {
 	e := c.server(v, now)
--- a/update.go
+++ b/update.go
@@ -22,6 +22,6 @@
 var (
 	// ErrHistoryGone says that the store has dropped the history that a watch asked for.
 	ErrHistoryGone = errors.New("the store has dropped this history")
-	// ErrNoLife says that a sidecar gave no sign of life when asked for one.
-	ErrNoLife = errors.New("the sidecar gives no sign of life")
+	// ErrAnswered says that a second hand-over of the same request was answered first.
+	ErrAnswered = errors.New("another sidecar answered first")
 )
