A receiver refuses what would end sooner elsewhere, or is likely to fail

With 60 servers and some 20 requests a second a sender sees one server every 3 s, so what replies told is too old (2 to 5 s) to leave a slow or failing one out.

Change: a sender tells when the request would have ended at the next best server (EndBy in place of StartBy); the sidecar beside the server, which knows its times and failures by rule, refuses what would end later (busy) or fails too often (failing, 126; one in ten is sent on to see when the server has mended). The request is then weighed anew with what was just told; the server isn't ruled out. A slow server shows by the means that running requests have taken, by rule. After two sidecars without room the caller is refused, however many were busy before.

A check changed: TestPromises asked that no server gets two hand-overs; now, that none does that did not just say busy or failing, since nothing arrived there.

--- a/admit/slots.go
+++ b/admit/slots.go
@@ -12,8 +12,8 @@
 	Rank int64
 	Rule string
 	// Deadline is when nobody waits for the answer any more, GoodUntil when the answer stops being good,
-	// StartBy when the request had better be tried elsewhere.
-	Deadline, GoodUntil, StartBy time.Time
+	// EndBy when it would have ended elsewhere; zero if nowhere else is better.
+	Deadline, GoodUntil, EndBy time.Time
 	// Granted receives nil when the request may run, or why it may not.
 	Granted chan *jaypitch.Error
 
@@ -56,6 +56,9 @@
 	refuseFrom = 0.4
 	// lessUrgent is the part of that wait that is left to a rank while a more urgent one is served too.
 	lessUrgent = 0.9
+	// agedFactor is how many means running requests have to have taken for the server to count as slower: with times that spread by
+	// half of their mean, those that are under way have taken 0.6 means on average.
+	agedFactor = 1.5
 	// minStanding is how long a queue has to stand to count as more than a short burst (the interval of CoDel).
 	minStanding = 100 * time.Millisecond
 )
@@ -79,21 +82,25 @@
 func (s *Slots) Arrive(w *Wish, now time.Time) (bool, *jaypitch.Error) {
 	w.arrived = now
 	s.note(w)
-	need := s.Mean(w.Rule)
+	need := s.Expect(w.Rule, now)
 	if left := w.Deadline.Sub(now); left < scale(need, needMargin) {
-		return false, jaypitch.Errorf(jaypitch.CodeDeadline, "%s are left and the mean time of rule %q is %s", left, w.Rule, need)
+		return false, jaypitch.Errorf(jaypitch.CodeDeadline, "%s are left and rule %q takes %s", left, w.Rule, need)
 	}
 	if len(s.waiting) == 0 {
 		s.emptyAt = now
 	}
-	if len(s.running) < s.size && len(s.waiting) == 0 {
+	free := len(s.running) < s.size && len(s.waiting) == 0
+	wait := time.Duration(0)
+	if !free {
+		wait = s.Wait(w, now)
+	}
+	if end := now.Add(wait + need); !w.EndBy.IsZero() && end.After(w.EndBy) {
+		return false, jaypitch.Errorf(jaypitch.CodeBusy, "the wait of %s and the time %s are longer than elsewhere", wait, need)
+	}
+	if free {
 		s.start(w, now)
 		return true, nil
 	}
-	wait := s.Wait(w, now)
-	if end := now.Add(wait); end.After(w.StartBy) {
-		return false, jaypitch.Errorf(jaypitch.CodeBusy, "the wait of %s is longer than elsewhere", wait)
-	}
 	if e := s.crowded(w, wait, now); e != nil {
 		return false, e
 	}
@@ -164,7 +171,7 @@
 	return max(over, s.Mean(w.Rule)/time.Duration(s.size))
 }
 
-// Mean is the mean time of a rule's requests at the server, or what running ones have taken already if that is more.
+// Mean is the mean time of a rule's requests at the server.
 func (s *Slots) Mean(rule string) time.Duration {
 	if r := s.rules[rule]; r != nil && r.mean > 0 {
 		return time.Duration(r.mean) * time.Microsecond
@@ -187,16 +194,24 @@
 	return s.size
 }
 
-// Aged is the mean time that running requests have taken so far; a server that turned slow shows it before any request ends.
-func (s *Slots) Aged(now time.Time) time.Duration {
-	if len(s.running) == 0 {
-		return 0
+// Expect is the time that a rule's request is expected to take at the server: the mean, or more if running requests have
+// taken so many of their means already that the server must have turned slow.
+func (s *Slots) Expect(rule string, now time.Time) time.Duration {
+	mean := s.Mean(rule)
+	if slow := s.slowness(now); slow > agedFactor {
+		return scale(mean, slow)
 	}
-	var sum time.Duration
+	return mean
+}
+
+// slowness is the number of means that running requests have taken so far, on average with one that has taken one mean, so that a
+// single long request doesn't say much.
+func (s *Slots) slowness(now time.Time) float64 {
+	sum := 1.0
 	for w := range s.running {
-		sum += now.Sub(w.started)
+		sum += float64(now.Sub(w.started)) / float64(s.Mean(w.Rule))
 	}
-	return sum / time.Duration(len(s.running))
+	return sum / float64(len(s.running)+1)
 }
 
 // note remembers the rank and the target of a rule.
--- a/admit/slots_test.go
+++ b/admit/slots_test.go
@@ -18,7 +18,7 @@
 func always() float64 { return 0 }
 
 func wish(rule string, rank int64, now time.Time, target, timeout time.Duration) *Wish {
-	return &Wish{Rule: rule, Rank: rank, GoodUntil: now.Add(target), Deadline: now.Add(timeout), StartBy: now.Add(timeout), Granted: make(chan *jaypitch.Error, 1)}
+	return &Wish{Rule: rule, Rank: rank, GoodUntil: now.Add(target), Deadline: now.Add(timeout), Granted: make(chan *jaypitch.Error, 1)}
 }
 
 // busySlots returns slots of which all are taken, with a mean time of 100 ms for rule a.
@@ -92,7 +92,7 @@
 	t.Run("what waits longer than elsewhere", func(t *testing.T) {
 		s, _ := busySlots(t, 1, never)
 		w := wish("a", 1, slotsStart, 400*ms, time.Second)
-		w.StartBy = slotsStart.Add(5 * ms)
+		w.EndBy = slotsStart.Add(105 * ms)
 		assertRefused(t, s, w, slotsStart, jaypitch.CodeBusy)
 	})
 	t.Run("nothing by chance while the queue is a short burst", func(t *testing.T) {
@@ -134,8 +134,45 @@
 	is.True(!s.Cancel(w))
 }
 
-func TestSlotsAged(t *testing.T) {
-	is := is.New(t)
-	s, _ := busySlots(t, 2, never)
-	is.Equal(s.Aged(slotsStart.Add(700*ms)), 700*ms)
+func TestSlotsExpect(t *testing.T) {
+	for name, c := range map[string]struct {
+		size int
+		at   time.Duration
+		want time.Duration
+	}{
+		"the mean":                                 {4, 60 * ms, 100 * ms},
+		"more once all take longer":                {4, 600 * ms, 500 * ms},
+		"one long request doesn't say much":        {1, 200 * ms, 100 * ms},
+		"a very long one says that it is slow too": {1, 900 * ms, 500 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := busySlots(t, c.size, never)
+			is.Equal(s.Expect("a", slotsStart.Add(c.at)), c.want)
+		})
+	}
+}
+
+func TestSlotsRefuseWhatEndsSoonerElsewhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		endBy time.Duration
+		want  bool
+	}{
+		"a free slot is taken":                        {110 * ms, true},
+		"a slow server's free slot isn't":             {60 * ms, false},
+		"it is if nowhere else is known to be better": {0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, running := busySlots(t, 2, never)
+			s.Finish(running[0], 100*ms)
+			w := wish("a", 1, slotsStart, 400*ms, time.Second)
+			if c.endBy > 0 {
+				w.EndBy = slotsStart.Add(c.endBy)
+			}
+			run, e := s.Arrive(w, slotsStart)
+			is.Equal(run, c.want)
+			is.Equal(e == nil, c.want)
+		})
+	}
 }
--- a/code.go
+++ b/code.go
@@ -66,6 +66,7 @@
 	CodeBudgetSpent    Code = 123
 	CodeNoSettings     Code = 124
 	CodeHeadTooLarge   Code = 125
+	CodeFailing        Code = 126
 	CodeUnknown        Code = 150
 	CodeTokenExpired   Code = 151
 	CodeProcessGone    Code = 152
@@ -148,9 +149,10 @@
 		{CodeShed, "shed", NotRun, http.StatusServiceUnavailable, "the backend server shed the call before running it"},
 		{CodeUnreachable, "unreachable", NotRun, http.StatusServiceUnavailable, "no connection could be made"},
 		{CodeTokenNotRun, "token_not_run", NotRun, http.StatusConflict, "the call of this token did not run, and never will"},
-		{CodeBusy, "busy", NotRun, http.StatusServiceUnavailable, "the request would wait longer here than elsewhere"},
+		{CodeBusy, "busy", NotRun, http.StatusServiceUnavailable, "the request would take longer here than elsewhere"},
 		{CodeMisdirected, "misdirected", NotRun, http.StatusServiceUnavailable, "another backend server has the address"},
 		{CodeBudgetSpent, "budget_spent", NotRun, http.StatusServiceUnavailable, "no further attempt is allowed"},
+		{CodeFailing, "failing", NotRun, http.StatusServiceUnavailable, "the backend server failed many of the rule's latest requests"},
 		{CodeNoSettings, "no_settings", NotRun, http.StatusServiceUnavailable, "the sidecar holds no configuration yet"},
 		{CodeHeadTooLarge, "head_too_large", NotRun, http.StatusRequestHeaderFieldsTooLarge, "the head of the request is over the limit"},
 		{CodeUnknown, "unknown", UnknownRan, http.StatusGatewayTimeout, "the connection or the deadline ended before the outcome was known"},
--- a/forward.go
+++ b/forward.go
@@ -34,8 +34,9 @@
 	Deadline time.Time
 	// GoodUntil is when the answer stops being good.
 	GoodUntil time.Time
-	// StartBy is when the receiving sidecar refuses a request that still waits, so that it is tried elsewhere.
-	StartBy time.Time
+	// EndBy is when the request would have ended at the next best server: the receiving sidecar refuses what would end later, or is likely
+	// to fail, so that it is tried there. Zero if nowhere else is better.
+	EndBy time.Time
 	// Revision of the store that the sender holds.
 	Revision int64
 }
@@ -84,9 +85,9 @@
 	InProgress int
 	Waiting    int
 	Slots      int
-	// Mean is the mean time of the rule's requests at the server.
+	// Mean is the time that the rule's requests are expected to take at the server.
 	Mean time.Duration
-	// Failing is the share of the latest requests that the server failed, from 0 to 1.
+	// Failing is the share of the rule's latest requests that the server failed, from 0 to 1.
 	Failing float64
 	// Stopping is true if the sidecar takes no new requests.
 	Stopping bool
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -28,11 +28,13 @@
 	pool    *http1.Pool
 	now     func() time.Time
 	record  func(f *jaypitch.Forward, r *jaypitch.Reply, waited time.Duration)
+	random  func() float64
 
-	mu       sync.Mutex
-	slots    *admit.Slots
-	server   string
-	failing  float64
+	mu     sync.Mutex
+	slots  *admit.Slots
+	server string
+	// failing is the share of failed requests by rule.
+	failing  map[string]float64
 	stopping bool
 }
 
@@ -47,8 +49,10 @@
 	heldBody = 256 << 10
 	// failingWeight is the weight of the newest request in the share of failed ones.
 	failingWeight = 0.1
-	// agedFactor is how many mean times running requests have to have taken for the server to count as slower than that.
-	agedFactor = 1.5
+	// failingLimit is the share of a rule's failed requests from which those that may go elsewhere are refused.
+	failingLimit = 0.15
+	// failingTrial is the part of them that is sent on all the same, to see when the server has mended.
+	failingTrial = 0.1
 	// deadlineGrace is how long after the deadline the server's own answer to it is awaited.
 	deadlineGrace = 40 * time.Millisecond
 	// defaultSlots is taken until the server's entry is known.
@@ -58,7 +62,7 @@
 // NewReceiver makes a receiver for the backend server at an address. Age returns the time since the store confirmed what is held. Record is called for each request.
 func NewReceiver(address string, names jaypitch.HeaderNames, state *mesh.State, age func() time.Duration, pool *http1.Pool, now func() time.Time,
 	record func(f *jaypitch.Forward, r *jaypitch.Reply, waited time.Duration)) *Receiver {
-	return &Receiver{address: address, names: names, state: state, age: age, pool: pool, now: now, record: record, slots: admit.NewSlots(defaultSlots, rand.Float64)}
+	return &Receiver{address: address, names: names, state: state, age: age, pool: pool, now: now, record: record, slots: admit.NewSlots(defaultSlots, rand.Float64), random: rand.Float64, failing: map[string]float64{}}
 }
 
 // Stop makes the receiver refuse all new requests.
@@ -78,7 +82,7 @@
 // Serve admits a request, sends it to the server and returns what became of it.
 func (r *Receiver) Serve(ctx context.Context, f *jaypitch.Forward) *jaypitch.Reply {
 	arrived := r.now()
-	w := &admit.Wish{Rank: f.Rank, Rule: f.Rule, Deadline: f.Deadline, GoodUntil: f.GoodUntil, StartBy: f.StartBy, Granted: make(chan *jaypitch.Error, 1)}
+	w := &admit.Wish{Rank: f.Rank, Rule: f.Rule, Deadline: f.Deadline, GoodUntil: f.GoodUntil, EndBy: f.EndBy, Granted: make(chan *jaypitch.Error, 1)}
 	reply := r.admit(ctx, f, w)
 	waited := r.now().Sub(arrived)
 	if reply == nil {
@@ -95,6 +99,10 @@
 		return refusal(e)
 	}
 	r.mu.Lock()
+	if failing := r.failing[f.Rule]; failing > failingLimit && !f.EndBy.IsZero() && r.random() > failingTrial {
+		r.mu.Unlock()
+		return refusal(jaypitch.Errorf(jaypitch.CodeFailing, "the backend server failed %.2f of the latest requests of rule %q", failing, f.Rule))
+	}
 	run, e := r.slots.Arrive(w, r.now())
 	var back time.Duration
 	if e != nil {
@@ -187,7 +195,7 @@
 	if r.server != id {
 		r.server = id
 		r.slots.Reset()
-		r.failing = 0
+		clear(r.failing)
 	}
 	if v != nil {
 		r.slots.Resize(int(v.GetSlots()))
@@ -281,7 +289,7 @@
 		failed, worked = 1, 0
 	}
 	r.mu.Lock()
-	r.failing += failingWeight * (failed - r.failing)
+	r.failing[w.Rule] += failingWeight * (failed - r.failing[w.Rule])
 	r.mu.Unlock()
 	r.finish(w, worked)
 }
@@ -304,12 +312,8 @@
 	age := r.age()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	mean := r.slots.Mean(rule)
-	if aged := r.slots.Aged(r.now()); float64(aged) > agedFactor*float64(mean) {
-		mean = aged
-	}
-	return jaypitch.Load{InProgress: r.slots.Running(), Waiting: r.slots.Waiting(), Slots: r.slots.Size(), Mean: mean,
-		Failing: r.failing, Stopping: r.stopping, Revision: r.state.Revision(), SourceAge: age}
+	return jaypitch.Load{InProgress: r.slots.Running(), Waiting: r.slots.Waiting(), Slots: r.slots.Size(), Mean: r.slots.Expect(rule, r.now()),
+		Failing: r.failing[rule], Stopping: r.stopping, Revision: r.state.Revision(), SourceAge: age}
 }
 
 // Close ends the stream and gives the slot back.
--- a/inbound/receiver_test.go
+++ b/inbound/receiver_test.go
@@ -46,7 +46,7 @@
 func forwarded(id, body string) *jaypitch.Forward {
 	by := time.Now().Add(time.Minute)
 	return &jaypitch.Forward{ID: id, Method: http.MethodPost, Target: "/p/q?r=1", Host: "h", Body: []byte(body), Rule: "r", Server: "i-1",
-		CallerService: "caller", Deadline: by, GoodUntil: by, StartBy: by, Revision: 2}
+		CallerService: "caller", Deadline: by, GoodUntil: by, Revision: 2}
 }
 
 func TestAnswersOfTheServer(t *testing.T) {
@@ -254,3 +254,42 @@
 		is.Equal(running+waiting, 0)
 	})
 }
+
+// TestAServerThatFails refuses requests that may go elsewhere, once the server has failed many of the same rule.
+func TestAServerThatFails(t *testing.T) {
+	for name, c := range map[string]struct {
+		rule      string
+		elsewhere bool
+		refused   bool
+	}{
+		"one that may go elsewhere":       {"r", true, true},
+		"one that has nowhere better":     {"r", false, false},
+		"one of a rule that it runs well": {"other", true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newRig(t, 4)
+			g.app.Answer(standin.Sheds)
+			for range 10 {
+				is.Equal(g.receiver.Serve(context.Background(), forwarded("one", "")).Code, jaypitch.CodeShed)
+			}
+			_, before := g.app.Ran("")
+			g.app.Answer(standin.Sound)
+			g.receiver.random = func() float64 { return 0.5 }
+			f := forwarded("two", "")
+			f.Rule = c.rule
+			if c.elsewhere {
+				f.EndBy = f.Deadline
+			}
+			r := g.receiver.Serve(context.Background(), f)
+			_, after := g.app.Ran("")
+			is.Equal(r.Code == jaypitch.CodeFailing, c.refused)
+			is.Equal(after-before, map[bool]int{true: 0, false: 1}[c.refused])
+			if c.refused {
+				is.Equal(r.Ran, jaypitch.NotRun)
+				is.True(!r.Arrived)
+				is.True(r.Load.Failing > failingLimit)
+			}
+		})
+	}
+}
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -45,6 +45,8 @@
 	tried []string
 	// passes counts hand-overs to sidecars, arrivals those that may have reached a server.
 	passes, arrivals int
+	// overloaded counts the sidecars that had no room.
+	overloaded int
 	// kept is the answer to give back if no further attempt does better.
 	kept *jaypitch.Reply
 	// back is the shortest time after which a receiver expects room.
@@ -54,9 +56,11 @@
 const (
 	// maxPasses bounds the sidecars that one request is handed to.
 	maxPasses = 5
-	// busyPasses is how many sidecars may refuse a request because it would wait longer than elsewhere.
+	// busyPasses is how many sidecars may refuse a request because it would take longer than elsewhere, or is likely to fail.
 	busyPasses = 2
-	// spareWait is the wait beyond the next best server's time at which it is better to try elsewhere: some hops.
+	// fullPasses is how many sidecars may have no room before the caller is refused.
+	fullPasses = 2
+	// spareWait is the time beyond the next best server's at which it is better to try there: some hops.
 	spareWait = 5 * time.Millisecond
 	// passGrace is how long after the deadline the receiving sidecar's answer is awaited.
 	passGrace = 80 * time.Millisecond
@@ -108,7 +112,7 @@
 	own := *f
 	own.Server = pick.Server.GetId()
 	own.Revision = d.state.Revision()
-	own.StartBy = d.startBy(a, f, pick)
+	own.EndBy = d.endBy(a, pick)
 	own.AskFirst = pick.AskFirst
 	return &own
 }
@@ -130,16 +134,12 @@
 	return pick
 }
 
-// startBy bounds the wait at a receiver by what the next best server is expected to need more.
-func (d *Dispatcher) startBy(a *attempts, f *jaypitch.Forward, pick route.Pick) time.Time {
-	if a.passes >= busyPasses {
-		return f.Deadline
+// endBy is when the request would have ended at the next best server; zero if that isn't known, or has been tried enough.
+func (d *Dispatcher) endBy(a *attempts, pick route.Pick) time.Time {
+	if a.passes >= busyPasses || pick.Elsewhere == 0 {
+		return time.Time{}
 	}
-	by := d.now().Add(min(pick.Spare, f.Deadline.Sub(d.now())) + spareWait)
-	if by.After(f.Deadline) {
-		return f.Deadline
-	}
-	return by
+	return d.now().Add(pick.Elsewhere + spareWait)
 }
 
 // ended notes the end of a hand-over that says nothing of the sidecar.
@@ -225,9 +225,14 @@
 	if r.Ran != jaypitch.NotRun && !a.rule.GetIdempotent() {
 		return false
 	}
-	a.tried = append(a.tried, server)
-	if r.Code == jaypitch.CodeOverloaded && a.passes >= busyPasses {
-		return false
+	if r.Code != jaypitch.CodeBusy && r.Code != jaypitch.CodeFailing {
+		// A server that is slower or fails more than was thought is weighed again by what was told.
+		a.tried = append(a.tried, server)
+	}
+	if r.Code == jaypitch.CodeOverloaded {
+		if a.overloaded++; a.overloaded >= fullPasses {
+			return false
+		}
 	}
 	if !r.Arrived {
 		return d.now().Before(f.Deadline)
--- a/outbound/dispatcher_test.go
+++ b/outbound/dispatcher_test.go
@@ -21,7 +21,9 @@
 	passes  int
 	runs    int
 	servers map[string]bool
-	bodies  []string
+	// again counts hand-overs to a server that had one before and did not say that it was only busy or failing.
+	again  int
+	bodies []string
 }
 
 var clock = time.Now()
@@ -29,7 +31,10 @@
 func (h *fakeHop) Pass(_ context.Context, _ string, f *jaypitch.Forward) *jaypitch.Reply {
 	r := h.script[min(h.passes, len(h.script)-1)]
 	h.passes++
-	h.servers[f.Server] = true
+	if h.servers[f.Server] {
+		h.again++
+	}
+	h.servers[f.Server] = r.Code != jaypitch.CodeBusy && r.Code != jaypitch.CodeFailing
 	h.bodies = append(h.bodies, string(f.Body))
 	if r.Ran != jaypitch.NotRun {
 		h.runs++
@@ -47,6 +52,7 @@
 	"ok":          {Ran: jaypitch.DidRun, Status: http.StatusOK, Arrived: true},
 	"failed":      {Ran: jaypitch.DidRun, Status: http.StatusInternalServerError, Arrived: true},
 	"busy":        {Ran: jaypitch.NotRun, Code: jaypitch.CodeBusy},
+	"failing":     {Ran: jaypitch.NotRun, Code: jaypitch.CodeFailing},
 	"overloaded":  {Ran: jaypitch.NotRun, Code: jaypitch.CodeOverloaded, ComeBack: 30 * time.Millisecond},
 	"stopping":    {Ran: jaypitch.NotRun, Code: jaypitch.CodeStopping},
 	"unreachable": {Ran: jaypitch.NotRun, Code: jaypitch.CodeUnreachable},
@@ -90,7 +96,7 @@
 					}
 					is.True(h.runs <= 2)
 					is.True(h.passes <= maxPasses)
-					is.Equal(len(h.servers), h.passes)
+					is.Equal(h.again, 0)
 					for _, b := range h.bodies {
 						is.Equal(b, "body")
 					}
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -28,7 +28,7 @@
 	// toldInFlight is the own part of the told load.
 	toldInFlight int
 	toldUntil    time.Time
-	means        map[string]toldMean
+	told         map[string]toldRule
 	suspectUntil time.Time
 	// dead is true from a sign of death until the next sign of life.
 	dead bool
@@ -41,14 +41,16 @@
 	fullUntil map[string]time.Time
 }
 
-type toldMean struct {
-	mean  time.Duration
-	until time.Time
+// toldRule is what the sidecar beside a server told of one rule's requests there.
+type toldRule struct {
+	mean    time.Duration
+	failing float64
+	until   time.Time
 }
 
 // ruleSeen is what was seen of one rule's requests.
 type ruleSeen struct {
-	mean  float64 // microseconds at a server
+	mean  float64 // microseconds at a server; zero before the first answer
 	bytes float64 // of an answer
 	// failed is the share of answers that were failures of the server.
 	failed float64
@@ -69,8 +71,9 @@
 type Pick struct {
 	// Server is nil if none can be chosen.
 	Server *schema.MeshServer
-	// Spare is how much longer the next best server is expected to take.
-	Spare time.Duration
+	// Elsewhere is the time that the request would take if it went to the next best server after all; zero if that isn't known to be
+	// better in any case.
+	Elsewhere time.Duration
 	// AskFirst is true if the body had better be held back until the sidecar beside the server has room: it crosses to another
 	// data centre, and all slots were in use.
 	AskFirst bool
@@ -81,6 +84,8 @@
 const (
 	// loadFresh is how long a told load is believed in full.
 	loadFresh = 2 * time.Second
+	// meanMargin is by how much the mean of the latest requests differs by chance from the mean told before.
+	meanMargin = 1.1
 	// meanFresh is how long a told mean time is believed; then the server is taken for an average one again.
 	meanFresh = 5 * time.Second
 	// firstMean is taken for the time of a rule's requests before one has ended.
@@ -152,14 +157,21 @@
 		return p
 	}
 	p.RoomIn = 0
-	p.Spare = time.Duration(math.MaxInt64)
 	p.AskFirst = q.Body >= askFirstBytes && p.Server.GetDataCentre() != c.dataCentre && c.server(p.Server, now).used(now) >= float64(p.Server.GetSlots())
 	if !math.IsInf(next, 1) {
-		p.Spare = time.Duration(next-best)*time.Microsecond + c.resend(p.Server, q)
+		p.Elsewhere = c.elsewhere(p.Server, q, next-best, now)
 	}
 	return p
 }
 
+// elsewhere is what the chosen server is expected to take, and by how much more the next best one costs, in microseconds.
+func (c *Chooser) elsewhere(v *schema.MeshServer, q Query, more float64, now time.Time) time.Duration {
+	if c.rule(q.Rule).mean == 0 || c.CommonFailure(q.Rule) {
+		return 0
+	}
+	return time.Duration(c.meanAt(c.server(v, now), q.Rule, now)*meanMargin+more)*time.Microsecond + c.resend(v, q)
+}
+
 // sample returns the servers to weigh: all of them, or of a large service some that stand together from a random place on.
 func (c *Chooser) sample(all []*schema.MeshServer) []*schema.MeshServer {
 	if len(all) <= maxWeighed {
@@ -190,8 +202,8 @@
 	mean := c.meanAt(e, q.Rule, now)
 	used := (e.used(now) + 1) / float64(max(1, v.GetSlots()))
 	cost := mean*(1+busyFactor*used+max(0, used-1)) + e.hop
-	if now.Before(e.toldUntil) && e.load.Failing > failingLimit {
-		cost *= 1 + 10*e.load.Failing
+	if t := e.told[q.Rule]; now.Before(t.until) && t.failing > failingLimit {
+		cost *= 1 + 10*t.failing
 	}
 	if v.GetDataCentre() != c.dataCentre {
 		cost += c.crossing(float64(q.Body)+c.rule(q.Rule).bytes, q)
@@ -206,10 +218,13 @@
 
 // meanAt is the mean time of a rule's requests at a server, in microseconds.
 func (c *Chooser) meanAt(e *seen, rule string, now time.Time) float64 {
-	if m, ok := e.means[rule]; ok && now.Before(m.until) {
-		return max(1, float64(m.mean.Microseconds()))
+	if t, ok := e.told[rule]; ok && now.Before(t.until) {
+		return max(1, float64(t.mean.Microseconds()))
 	}
 	mean := c.rule(rule).mean
+	if mean == 0 {
+		mean = float64(firstMean.Microseconds())
+	}
 	if now.Before(e.coldTill) {
 		mean *= coldFactor
 	}
@@ -277,7 +292,7 @@
 	e.dead, e.suspectUntil, e.oldest = false, time.Time{}, now
 	e.load, e.toldInFlight, e.toldUntil = r.Load, e.inFlight, now.Add(loadFresh)
 	if r.Load.Mean > 0 {
-		e.means[rule] = toldMean{mean: r.Load.Mean, until: now.Add(meanFresh)}
+		e.told[rule] = toldRule{mean: r.Load.Mean, failing: r.Load.Failing, until: now.Add(meanFresh)}
 	}
 	if r.Load.Stopping || r.Code == jaypitch.CodeMisdirected || r.Code == jaypitch.CodeNotThisHost || r.Code == jaypitch.CodeStopping {
 		e.suspectUntil = now.Add(stoppingSuspicion)
@@ -292,6 +307,9 @@
 	}
 	if r.Ran == jaypitch.DidRun && r.Worked > 0 {
 		s := c.rule(rule)
+		if s.mean == 0 {
+			s.mean = float64(r.Worked.Microseconds())
+		}
 		s.mean += seenWeight * (float64(r.Worked.Microseconds()) - s.mean)
 		s.bytes += seenWeight * (float64(len(r.Body)) - s.bytes)
 	}
@@ -341,7 +359,7 @@
 func (c *Chooser) server(v *schema.MeshServer, now time.Time) *seen {
 	e := c.servers[v.GetId()]
 	if e == nil {
-		e = &seen{server: v, means: map[string]toldMean{}, fullUntil: map[string]time.Time{}, coldTill: now.Add(time.Duration(v.GetColdUs()) * time.Microsecond)}
+		e = &seen{server: v, told: map[string]toldRule{}, fullUntil: map[string]time.Time{}, coldTill: now.Add(time.Duration(v.GetColdUs()) * time.Microsecond)}
 		c.servers[v.GetId()] = e
 	}
 	return e
@@ -350,7 +368,7 @@
 func (c *Chooser) rule(name string) *ruleSeen {
 	s := c.rules[name]
 	if s == nil {
-		s = &ruleSeen{mean: float64(firstMean.Microseconds())}
+		s = &ruleSeen{}
 		c.rules[name] = s
 	}
 	return s
--- a/route/chooser_test.go
+++ b/route/chooser_test.go
@@ -211,3 +211,36 @@
 		})
 	}
 }
+
+func TestElsewhere(t *testing.T) {
+	mean, worked := 50*time.Millisecond, jaypitch.Reply{Ran: jaypitch.DidRun, Worked: 50 * time.Millisecond}
+	t.Run("nothing is known before the first answer", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(newChooser().Choose(meshService(2, 0), query, start).Elsewhere, time.Duration(0))
+	})
+	t.Run("there is no other server", func(t *testing.T) {
+		is := is.New(t)
+		ch, s := newChooser(), meshService(1, 0)
+		tell(ch, s.Servers[0], jaypitch.Load{Mean: mean}, worked, start)
+		is.Equal(ch.Choose(s, query, start).Elsewhere, time.Duration(0))
+	})
+	t.Run("the mean here, and what the next one takes more", func(t *testing.T) {
+		is := is.New(t)
+		ch, s := newChooser(), meshService(2, 0)
+		tell(ch, s.Servers[0], jaypitch.Load{Mean: mean}, worked, start)
+		tell(ch, s.Servers[1], jaypitch.Load{Mean: 3 * mean}, worked, start)
+		got := ch.Choose(s, query, start).Elsewhere
+		is.True(got > 3*mean)
+		is.True(got < 4*mean)
+	})
+	t.Run("nowhere is better where all fail", func(t *testing.T) {
+		is := is.New(t)
+		ch, s := newChooser(), meshService(2, 0)
+		failed := jaypitch.Reply{Ran: jaypitch.DidRun, Worked: mean, Status: 500}
+		for range 10 {
+			tell(ch, s.Servers[0], jaypitch.Load{Mean: mean}, failed, start)
+			tell(ch, s.Servers[1], jaypitch.Load{Mean: mean}, failed, start)
+		}
+		is.Equal(ch.Choose(s, query, start).Elsewhere, time.Duration(0))
+	})
+}
