A start that knows no server asks the hosts that the platform names, beside the store

Cause: a sidecar that started while the store refused it learnt what there is only from the first request that another handed to it (docs/design/4-platform.md); and a herd of starts has nowhere else to ask than the store (docs/CAPACITY.md).

While no server is known the follower asks them as it asks others otherwise. If the store fails and others heard of it lately, it is not read whole again.

TestAStartAsksSeeds fails without the change: the sidecar never gets ready.

--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -128,7 +128,7 @@
 	}
 }
 
-// others returns the addresses of some sidecars beside random servers.
+// others returns the addresses of some sidecars beside random servers, or of those that the settings name while no server is known.
 func (f *follower) others(n int) []string {
 	var all []string
 	own := f.sidecar.settings.Load().GetSidecar().GetBackend()
@@ -137,6 +137,11 @@
 			all = append(all, f.sidecar.peerAddress(v.GetAddress()))
 		}
 	}
+	if len(f.sidecar.state.Table().Servers) == 0 {
+		for _, s := range f.sidecar.settings.Load().GetSidecar().GetSeeds() {
+			all = append(all, f.sidecar.peerAddress(s))
+		}
+	}
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(n, len(all))]
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -49,6 +49,7 @@
 	gauge("revision", "Revision of the store that is held.", func() float64 { return float64(c.state.Revision()) })
 	gauge("source_age_seconds", "Time since the store confirmed what is held, directly or through others.", func() float64 { return c.fresh.age().Seconds() })
 	gauge("store_calls", "Calls to the store.", func() float64 { return float64(c.watcher.callCount()) })
+	gauge("store_reads", "Times that everything was read from the store.", func() float64 { return float64(c.watcher.reads()) })
 	gauge("slots_running", "Requests at the backend server.", func() float64 { n, _, _ := c.receiver.Counts(); return float64(n) })
 	gauge("slots_waiting", "Requests that wait for a slot.", func() float64 { _, n, _ := c.receiver.Counts(); return float64(n) })
 	gauge("lines_dropped", "Log lines for which the output had no room.", func() float64 { return float64(dropped()) })
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -33,7 +33,9 @@
 }
 
 type rigHost struct {
-	ip      string
+	ip string
+	// seeds is a line of the settings, or empty.
+	seeds   string
 	app     *standin.App
 	sidecar *Sidecar
 	stop    context.CancelFunc
@@ -108,8 +110,8 @@
 }
 
 func (m *meshRig) run(h *rigHost) {
-	text := fmt.Sprintf("[sidecar]\nhost = a\ndata_centre = z\nservice = x\nbackend = %s\n[listen]\ncallers = %s:%d\npeers = %s:%d\nready = %s:%d\nmetrics = %s:%d\n[store]\naddress = %s\n",
-		h.app.Address(), h.ip, m.ports[portCallers], h.ip, m.ports[portPeers], h.ip, m.ports[portReady], h.ip, m.ports[portMetrics], m.at)
+	text := fmt.Sprintf("[sidecar]\nhost = a\ndata_centre = z\nservice = x\nbackend = %s\n%s\n[listen]\ncallers = %s:%d\npeers = %s:%d\nready = %s:%d\nmetrics = %s:%d\n[store]\naddress = %s\n",
+		h.app.Address(), h.seeds, h.ip, m.ports[portCallers], h.ip, m.ports[portPeers], h.ip, m.ports[portReady], h.ip, m.ports[portMetrics], m.at)
 	s, problems := settings.ParseSidecar("test", []byte(text))
 	if len(problems) > 0 {
 		m.t.Fatal(problems)
@@ -319,3 +321,19 @@
 	status, _ := m.get(0, portCallers, "/one/a", "id")
 	is.Equal(status, http.StatusOK)
 }
+
+// TestAStartAsksSeeds starts a sidecar again without any request from others, while the store is down.
+func TestAStartAsksSeeds(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 8, 3)
+	m.store.SetFault(standin.StoreFault{Status: http.StatusServiceUnavailable})
+	h := m.hosts[0]
+	h.stop()
+	is.NoErr(<-h.done)
+	h.seeds = fmt.Sprintf("seeds = %s:%d, 127.9.9.9:1", m.hosts[1].ip, m.ports[portPeers])
+	m.run(h)
+	m.eventually("the sidecar is ready again", func() bool {
+		status, _ := m.get(0, portReady, platform.ReadyPath, "")
+		return status == http.StatusOK
+	})
+}
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -29,6 +29,8 @@
 	mu       sync.Mutex
 	failures int
 	calls    int64
+	// wholes counts the calls that read everything.
+	wholes int64
 	// failingSince is when the store began to fail; zero while it answers.
 	failingSince time.Time
 	cancel       context.CancelFunc
@@ -48,7 +50,7 @@
 	returnTime = 2 * time.Second
 )
 
-// run reads everything once, then watches: all the time as a reader, else when kicked.
+// run reads everything once, unless that fails and others tell it, then watches: all the time as a reader, else when kicked.
 func (w *watcher) run(ctx context.Context) {
 	whole := true
 	for ctx.Err() == nil {
@@ -68,6 +70,8 @@
 			continue
 		case err != nil:
 			w.failed(ctx, err)
+			// What others heard of the store since is as good as its own word.
+			whole = whole && w.fresh.age() > staleFrom
 			continue
 		}
 		whole = false
@@ -106,6 +110,9 @@
 	w.mu.Lock()
 	w.cancel = cancel
 	w.calls++
+	if whole {
+		w.wholes++
+	}
 	w.mu.Unlock()
 	var u jaypitch.MeshUpdate
 	var err error
@@ -175,6 +182,13 @@
 	return was
 }
 
+// reads returns the number of times that everything was read from the store.
+func (w *watcher) reads() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.wholes
+}
+
 // callCount returns the number of calls to the store.
 func (w *watcher) callCount() int64 {
 	w.mu.Lock()
