--- /dev/null
+++ b/burn/report.go
@@ -0,0 +1,47 @@
+package burn
+
+import "github.com/jaypitch/jaypitch/schema"
+
+// Report is the counts of all hosts that answered.
+type Report struct {
+	Counts []Rated `json:"counts"`
+	// Asked is the number of hosts asked, Silent names those that gave no answer.
+	Asked  int      `json:"asked"`
+	Silent []string `json:"silent"`
+}
+
+// Rated is a count with what follows from it.
+type Rated struct {
+	Count
+	Rate       float64 `json:"rate"`
+	BudgetLeft float64 `json:"budget_left"`
+}
+
+// NewReport works out what follows from counts.
+func NewReport(counts []Count, asked int, silent []string) *Report {
+	r := &Report{Asked: asked, Silent: silent, Counts: []Rated{}}
+	for _, c := range counts {
+		r.Counts = append(r.Counts, Rated{Count: c, Rate: c.Rate(), BudgetLeft: c.BudgetLeft()})
+	}
+	return r
+}
+
+// FromMessages reads the counts of another host.
+func FromMessages(messages []*schema.BurnCount) []Count {
+	out := make([]Count, len(messages))
+	for i, m := range messages {
+		out[i] = Count{Service: m.GetService(), Rank: m.GetRank(), WindowUS: m.GetWindowUs(), Good: m.GetGood(), Bad: m.GetBad(),
+			ObjectivePermille: m.GetObjectivePermille()}
+	}
+	return out
+}
+
+// Messages writes counts for another host.
+func Messages(counts []Count) []*schema.BurnCount {
+	out := make([]*schema.BurnCount, len(counts))
+	for i, c := range counts {
+		out[i] = &schema.BurnCount{Service: c.Service, Rank: c.Rank, WindowUs: c.WindowUS, Good: c.Good, Bad: c.Bad,
+			ObjectivePermille: c.ObjectivePermille}
+	}
+	return out
+}
--- a/cmd/jaypitch/cmd_burn.go
+++ b/cmd/jaypitch/cmd_burn.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/jaypitch/jaypitch/burn"
 	"github.com/jaypitch/jaypitch/operator"
 )
 
@@ -21,7 +22,7 @@
 		Short: "Report how fast each rank spends its budget of bad calls",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			var b operator.Burn
+			var b burn.Report
 			fmt.Fprintf(c.ErrOrStderr(), "asking every listed host, at most %s\n", o.timeout)
 			if err := askInto(c.Context(), o, http.MethodGet, "/burn", url.Values{"timeout": {o.timeout.String()}}, &b); err != nil {
 				return err
@@ -41,7 +42,7 @@
 	return c
 }
 
-func printBurn(w io.Writer, b *operator.Burn) error {
+func printBurn(w io.Writer, b *burn.Report) error {
 	t := newTable(w, "SERVICE", "RANK", "WINDOW", "GOOD", "BAD", "OBJECTIVE", "BURN RATE", "BUDGET LEFT")
 	for _, c := range b.Counts {
 		t.row(c.Service, c.Rank, milliseconds(c.WindowUS/1000), c.Good, c.Bad, fmt.Sprintf("%.1f%%", float64(c.ObjectivePermille)/10),
@@ -56,7 +57,7 @@
 	return nil
 }
 
-func writeBurnPage(file string, b *operator.Burn) error {
+func writeBurnPage(file string, b *burn.Report) error {
 	f, err := os.Create(file)
 	if err != nil {
 		return fmt.Errorf("writing %q: %w", file, err)
--- a/cmd/jaypitch/docs_test.go
+++ b/cmd/jaypitch/docs_test.go
@@ -162,7 +162,7 @@
 	none := func(string, func() time.Time, func(*jaypitch.Error)) jaypitch.MeshSource { return nil }
 	c, err := sidecar.New(s, nil, sidecar.Platform{Source: none}, zap.NewNop(), func() int64 { return 0 })
 	is.NoErr(err)
-	b.WriteString("\n## A sidecar's\n\nServed at every path of its metrics listener but `/evidence`.\n\n| name | labels | meaning |\n|---|---|---|\n")
+	b.WriteString("\n## A sidecar's\n\nServed at every path of its metrics listener but `/evidence` and `/burn`.\n\n| name | labels | meaning |\n|---|---|---|\n")
 	descriptions := make(chan *prometheus.Desc, 64)
 	c.Registry().Describe(descriptions)
 	close(descriptions)
--- a/logline/lines.go
+++ b/logline/lines.go
@@ -40,7 +40,7 @@
 	{"settings reloaded", []string{"service", "service_before"}, "the settings file changed"},
 	{"settings refused, the last good ones stay", []string{"error"}, "the settings file has faults"},
 	{"closing a listener", []string{"error"}, "a listener was not closed in time"},
-	{"evidence", []string{"error"}, "an operator's question was not answered"},
+	{"answer for an operator", []string{"error"}, "an operator's question was not answered"},
 	{"lines left out", []string{"kind", "lines"}, "lines of a kind that were over the budget in the last second"},
 }
 
--- a/meshpeer/client.go
+++ b/meshpeer/client.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
+	"github.com/jaypitch/jaypitch/burn"
 	"github.com/jaypitch/jaypitch/evidence"
 	"github.com/jaypitch/jaypitch/schema"
 	"github.com/jaypitch/jaypitch/schema/schemaconnect"
@@ -46,6 +47,15 @@
 	return a.Msg, nil
 }
 
+// Burn asks the sidecar at an address for its counts of good and bad requests.
+func (c *Client) Burn(ctx context.Context, address string) ([]burn.Count, error) {
+	a, err := schemaconnect.NewMeshPeerClient(c.http, "http://"+address).Burn(ctx, connect.NewRequest(&schema.BurnRequest{}))
+	if err != nil {
+		return nil, eris.Wrapf(err, "asking the sidecar at %s", address)
+	}
+	return burn.FromMessages(a.Msg.GetCounts()), nil
+}
+
 // Find asks the sidecar at an address what it enforces of a subject; the finding bears the host's name given.
 func (c *Client) Find(ctx context.Context, host, address string, subject *schema.Subject) (evidence.Finding, error) {
 	a, err := schemaconnect.NewMeshPeerClient(c.http, "http://"+address).Find(ctx, connect.NewRequest(subject))
--- a/meshpeer/server.go
+++ b/meshpeer/server.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/jaypitch/jaypitch/burn"
 	"github.com/jaypitch/jaypitch/evidence"
 	"github.com/jaypitch/jaypitch/mesh"
 	"github.com/jaypitch/jaypitch/schema"
@@ -19,14 +20,15 @@
 	state *mesh.State
 	age   func() time.Duration
 	find  func(*schema.Subject) evidence.Finding
+	burn  func() []burn.Count
 }
 
 var _ schemaconnect.MeshPeerHandler = (*Server)(nil)
 
 // NewHandler makes the handler and the path that it stands at; age returns the time since the store confirmed what is held, find
-// what this sidecar enforces of a subject.
-func NewHandler(state *mesh.State, age func() time.Duration, find func(*schema.Subject) evidence.Finding) (string, http.Handler) {
-	return schemaconnect.NewMeshPeerHandler(&Server{state: state, age: age, find: find}, connect.WithCompressMinBytes(compressFrom))
+// what this sidecar enforces of a subject, and counts its good and bad requests.
+func NewHandler(state *mesh.State, age func() time.Duration, find func(*schema.Subject) evidence.Finding, counts func() []burn.Count) (string, http.Handler) {
+	return schemaconnect.NewMeshPeerHandler(&Server{state: state, age: age, find: find, burn: counts}, connect.WithCompressMinBytes(compressFrom))
 }
 
 // Held returns everything that changed after a revision of the store.
@@ -38,6 +40,11 @@
 	return connect.NewResponse(out), nil
 }
 
+// Burn returns this sidecar's counts; it gathers none of others.
+func (s *Server) Burn(context.Context, *connect.Request[schema.BurnRequest]) (*connect.Response[schema.BurnResponse], error) {
+	return connect.NewResponse(&schema.BurnResponse{Counts: burn.Messages(s.burn())}), nil
+}
+
 // Find says what this sidecar enforces of a subject.
 func (s *Server) Find(_ context.Context, r *connect.Request[schema.Subject]) (*connect.Response[schema.MeshFinding], error) {
 	f := s.find(r.Msg)
--- a/node/operator.go
+++ b/node/operator.go
@@ -77,16 +77,10 @@
 }
 
 // Burn gathers the service-level counts of every listed host.
-func (n *Node) Burn(ctx context.Context, deadline time.Time) operator.Burn {
+func (n *Node) Burn(ctx context.Context, deadline time.Time) *burn.Report {
 	targets := targetsOf(n.store.Table())
 	r := n.peers.GatherBurn(ctx, &schema.BurnRequest{Targets: targets, TimeLeftUs: deadline.Sub(n.now()).Microseconds()})
-	out := operator.Burn{Asked: len(targets), Silent: r.GetSilent(), Counts: []operator.BurnCount{}}
-	for _, m := range r.GetCounts() {
-		c := burn.Count{Service: m.GetService(), Rank: m.GetRank(), WindowUS: m.GetWindowUs(), Good: m.GetGood(), Bad: m.GetBad(),
-			ObjectivePermille: m.GetObjectivePermille()}
-		out.Counts = append(out.Counts, operator.BurnCount{Count: c, Rate: c.Rate(), BudgetLeft: c.BudgetLeft()})
-	}
-	return out
+	return burn.NewReport(burn.FromMessages(r.GetCounts()), len(targets), r.GetSilent())
 }
 
 // Drain stops the work for the backend server of this host, or takes it up again.
--- a/operator/burn_page.go
+++ b/operator/burn_page.go
@@ -18,7 +18,7 @@
 
 // burnView is what the page shows.
 type burnView struct {
-	Burn  Burn
+	Burn  burn.Report
 	Plots []template.HTML
 }
 
@@ -48,7 +48,7 @@
 )
 
 // WriteBurnPage writes the burn as one page that needs no other file.
-func WriteBurnPage(w io.Writer, b *Burn) error {
+func WriteBurnPage(w io.Writer, b *burn.Report) error {
 	v := burnView{Burn: *b}
 	if len(b.Counts) > 0 {
 		svg, err := plotRates(b)
@@ -64,7 +64,7 @@
 }
 
 // plotRates draws a bar for each service and rank and each window.
-func plotRates(b *Burn) ([]byte, error) {
+func plotRates(b *burn.Report) ([]byte, error) {
 	p := plot.New()
 	p.Title.Text = "Burn rate over the short and the long window"
 	p.Y.Label.Text = "burn rate"
@@ -91,7 +91,7 @@
 	return svg[max(0, bytes.Index(svg, []byte("<svg"))):], nil
 }
 
-func ratesOf(b *Burn) (short, long plotter.Values, names []string) {
+func ratesOf(b *burn.Report) (short, long plotter.Values, names []string) {
 	for _, c := range b.Counts {
 		if c.WindowUS == burn.ShortWindow.Microseconds() {
 			short = append(short, c.Rate)
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -12,6 +12,7 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/burn"
 	"github.com/jaypitch/jaypitch/evidence"
 	"github.com/jaypitch/jaypitch/schema"
 )
@@ -24,7 +25,7 @@
 	Text(team string) ([]byte, bool)
 	// Evidence gathers fresh answers of every listed host until the deadline.
 	Evidence(ctx context.Context, s *schema.Subject, deadline time.Time) *evidence.Report
-	Burn(ctx context.Context, deadline time.Time) Burn
+	Burn(ctx context.Context, deadline time.Time) *burn.Report
 	// Drain stops the work for the backend server of this host, or takes it up again.
 	Drain(drain bool)
 }
--- a/operator/status.go
+++ b/operator/status.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/jaypitch/jaypitch"
-	"github.com/jaypitch/jaypitch/burn"
 	"github.com/jaypitch/jaypitch/source"
 )
 
@@ -70,20 +69,6 @@
 	Withdrawn string `json:"withdrawn"`
 }
 
-// Burn is the service-level burn gathered from all nodes.
-type Burn struct {
-	Counts []BurnCount `json:"counts"`
-	Asked  int         `json:"asked"`
-	Silent []string    `json:"silent"`
-}
-
-// BurnCount is a count with what follows from it.
-type BurnCount struct {
-	burn.Count
-	Rate       float64 `json:"rate"`
-	BudgetLeft float64 `json:"budget_left"`
-}
-
 // Failure is the body of an answer that isn't 200.
 type Failure struct {
 	Code   jaypitch.Code `json:"code"`
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -55,6 +55,8 @@
 	Reply   *jaypitch.Reply
 	Status  int
 	Took    time.Duration
+	// Target is the time within which the answer is good.
+	Target time.Duration
 	// Added is the time that the server did not have the request.
 	Added time.Duration
 }
@@ -115,7 +117,7 @@
 		return jaypitch.NotRunReply(jaypitch.CodeNoRoute, "no rule of version %d matches host %q and path %q", t.Version, r.Host, r.URL.Path)
 	}
 	defer done()
-	rec.Rule, rec.Rank = rule.GetName(), rule.GetRank()
+	rec.Rule, rec.Rank, rec.Target = rule.GetName(), rule.GetRank(), rule.Target()
 	if e := checkHead(r, t.Limits.GetHeaderBytes()); e != nil {
 		return jaypitch.NotRunReply(e.Code, "%s", e.Reason)
 	}
--- a/peer/gather.go
+++ b/peer/gather.go
@@ -87,7 +87,7 @@
 		}
 		mu.Lock()
 		defer mu.Unlock()
-		counts = append(counts, countsOf(a.Msg.GetCounts()))
+		counts = append(counts, burn.FromMessages(a.Msg.GetCounts()))
 		out.Silent = append(out.Silent, a.Msg.GetSilent()...)
 		return nil
 	}
@@ -97,7 +97,7 @@
 		out.Silent = append(out.Silent, host)
 	}
 	g.all(ctx, others, time.Duration(r.GetTimeLeftUs())*time.Microsecond)
-	out.Counts = messagesOf(burn.Sum(counts...))
+	out.Counts = burn.Messages(burn.Sum(counts...))
 	return out
 }
 
@@ -168,21 +168,3 @@
 	}
 	return max(0, d.Sub(g.now()))
 }
-
-func countsOf(messages []*schema.BurnCount) []burn.Count {
-	out := make([]burn.Count, len(messages))
-	for i, m := range messages {
-		out[i] = burn.Count{Service: m.GetService(), Rank: m.GetRank(), WindowUS: m.GetWindowUs(), Good: m.GetGood(), Bad: m.GetBad(),
-			ObjectivePermille: m.GetObjectivePermille()}
-	}
-	return out
-}
-
-func messagesOf(counts []burn.Count) []*schema.BurnCount {
-	out := make([]*schema.BurnCount, len(counts))
-	for i, c := range counts {
-		out[i] = &schema.BurnCount{Service: c.Service, Rank: c.Rank, WindowUs: c.WindowUS, Good: c.Good, Bad: c.Bad,
-			ObjectivePermille: c.ObjectivePermille}
-	}
-	return out
-}
--- a/schema/schemaconnect/mesh.connect.go
+++ b/schema/schemaconnect/mesh.connect.go
@@ -39,6 +39,8 @@
 	MeshPeerHeldProcedure = "/jaypitch.v1.MeshPeer/Held"
 	// MeshPeerFindProcedure is the fully-qualified name of the MeshPeer's Find RPC.
 	MeshPeerFindProcedure = "/jaypitch.v1.MeshPeer/Find"
+	// MeshPeerBurnProcedure is the fully-qualified name of the MeshPeer's Burn RPC.
+	MeshPeerBurnProcedure = "/jaypitch.v1.MeshPeer/Burn"
 )
 
 // MeshPeerClient is a client for the jaypitch.v1.MeshPeer service.
@@ -48,6 +50,8 @@
 	// Find says what the sidecar enforces of a subject: a rule's host as the team and its prefix, without the first
 	// slash, as the route; or a backend server by its identity.
 	Find(context.Context, *connect.Request[schema.Subject]) (*connect.Response[schema.MeshFinding], error)
+	// Burn returns the sidecar's own counts of good and bad requests.
+	Burn(context.Context, *connect.Request[schema.BurnRequest]) (*connect.Response[schema.BurnResponse], error)
 }
 
 // NewMeshPeerClient constructs a client for the jaypitch.v1.MeshPeer service. By default, it uses
@@ -73,6 +77,12 @@
 			connect.WithSchema(meshPeerMethods.ByName("Find")),
 			connect.WithClientOptions(opts...),
 		),
+		burn: connect.NewClient[schema.BurnRequest, schema.BurnResponse](
+			httpClient,
+			baseURL+MeshPeerBurnProcedure,
+			connect.WithSchema(meshPeerMethods.ByName("Burn")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -80,6 +90,7 @@
 type meshPeerClient struct {
 	held *connect.Client[schema.HeldRequest, schema.HeldResponse]
 	find *connect.Client[schema.Subject, schema.MeshFinding]
+	burn *connect.Client[schema.BurnRequest, schema.BurnResponse]
 }
 
 // Held calls jaypitch.v1.MeshPeer.Held.
@@ -92,6 +103,11 @@
 	return c.find.CallUnary(ctx, req)
 }
 
+// Burn calls jaypitch.v1.MeshPeer.Burn.
+func (c *meshPeerClient) Burn(ctx context.Context, req *connect.Request[schema.BurnRequest]) (*connect.Response[schema.BurnResponse], error) {
+	return c.burn.CallUnary(ctx, req)
+}
+
 // MeshPeerHandler is an implementation of the jaypitch.v1.MeshPeer service.
 type MeshPeerHandler interface {
 	// Held returns everything that changed after a revision of the store.
@@ -99,6 +115,8 @@
 	// Find says what the sidecar enforces of a subject: a rule's host as the team and its prefix, without the first
 	// slash, as the route; or a backend server by its identity.
 	Find(context.Context, *connect.Request[schema.Subject]) (*connect.Response[schema.MeshFinding], error)
+	// Burn returns the sidecar's own counts of good and bad requests.
+	Burn(context.Context, *connect.Request[schema.BurnRequest]) (*connect.Response[schema.BurnResponse], error)
 }
 
 // NewMeshPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -120,12 +138,20 @@
 		connect.WithSchema(meshPeerMethods.ByName("Find")),
 		connect.WithHandlerOptions(opts...),
 	)
+	meshPeerBurnHandler := connect.NewUnaryHandler(
+		MeshPeerBurnProcedure,
+		svc.Burn,
+		connect.WithSchema(meshPeerMethods.ByName("Burn")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/jaypitch.v1.MeshPeer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MeshPeerHeldProcedure:
 			meshPeerHeldHandler.ServeHTTP(w, r)
 		case MeshPeerFindProcedure:
 			meshPeerFindHandler.ServeHTTP(w, r)
+		case MeshPeerBurnProcedure:
+			meshPeerBurnHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -142,3 +168,7 @@
 func (UnimplementedMeshPeerHandler) Find(context.Context, *connect.Request[schema.Subject]) (*connect.Response[schema.MeshFinding], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jaypitch.v1.MeshPeer.Find is not implemented"))
 }
+
+func (UnimplementedMeshPeerHandler) Burn(context.Context, *connect.Request[schema.BurnRequest]) (*connect.Response[schema.BurnResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jaypitch.v1.MeshPeer.Burn is not implemented"))
+}
--- a/sidecar/listen.go
+++ b/sidecar/listen.go
@@ -51,6 +51,7 @@
 	operators := http.NewServeMux()
 	operators.Handle("/", c.metrics.handler())
 	operators.HandleFunc("GET /evidence", c.answerEvidence)
+	operators.HandleFunc("GET /burn", c.answerBurn)
 	servers := []*http.Server{
 		outbound.NewServer(c.handler),
 		{Handler: c.peers, ReadHeaderTimeout: headerWait, IdleTimeout: peerIdle},
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -79,6 +79,7 @@
 
 // answered notes the end of a caller's request.
 func (c *Sidecar) answered(r outbound.Record) {
+	c.count(r)
 	rank := strconv.FormatInt(r.Rank, 10)
 	c.metrics.requests.WithLabelValues(r.Reply.Code.Info().Name, rank).Inc()
 	if r.Reply.Ran == jaypitch.DidRun {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/burn"
 	"github.com/jaypitch/jaypitch/evidence"
 	"github.com/jaypitch/jaypitch/hop"
 	"github.com/jaypitch/jaypitch/http1"
@@ -60,6 +61,7 @@
 	others     *http1.Pool
 	metrics    *metrics
 	tracker    *evidence.Tracker
+	burning    burning
 	inForce    atomic.Pointer[time.Time]
 	peerPort   uint16
 
@@ -87,7 +89,8 @@
 // New makes a sidecar from checked settings; load reads them again.
 func New(s *schema.SidecarSettings, load func() (*schema.SidecarSettings, error), p Platform, log *zap.Logger, dropped func() int64) (*Sidecar, error) {
 	log = log.With(zap.String("node", s.GetSidecar().GetHost()))
-	c := &Sidecar{load: load, platform: p, log: log, budget: logline.NewBudget(), now: time.Now, process: rand.Uint64(), state: mesh.NewState(), tracker: evidence.NewTracker()}
+	c := &Sidecar{load: load, platform: p, log: log, budget: logline.NewBudget(), now: time.Now, process: rand.Uint64(), state: mesh.NewState(), tracker: evidence.NewTracker(),
+		burning: burning{counter: burn.NewCounter()}}
 	c.settings.Store(s)
 	c.metrics = newMetrics(c, dropped)
 	listen, err := netip.ParseAddrPort(s.GetListen().GetPeers())
@@ -106,7 +109,7 @@
 	c.others = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()))
 	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.Names, c.state, c.fresh.age, c.backend, c.now, c.received)
 	control := http.NewServeMux()
-	control.Handle(meshpeer.NewHandler(c.state, c.fresh.age, c.find))
+	control.Handle(meshpeer.NewHandler(c.state, c.fresh.age, c.find, c.burnCounts))
 	control.HandleFunc("GET "+hop.LifePath, func(http.ResponseWriter, *http.Request) {})
 	c.peers = hop.NewServer(c.receiver, p.Names.RequestID, c.now, c.stopping.Load, c.heardSender, control)
 	chooser := route.NewChooser(s.GetSidecar().GetDataCentre(), rand.Float64)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/burn"
 	"github.com/jaypitch/jaypitch/evidence"
 	"github.com/jaypitch/jaypitch/platform"
 	"github.com/jaypitch/jaypitch/schema"
@@ -337,3 +338,38 @@
 		return status == http.StatusOK
 	})
 }
+
+// TestBurnOfAllSidecars counts requests by whether they were answered well, over all hosts.
+func TestBurnOfAllSidecars(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 9, 3)
+	for i := range 6 {
+		status, _ := m.get(i%3, portCallers, "/one/a", fmt.Sprintf("id-%d", i))
+		is.Equal(status, http.StatusOK)
+	}
+	for _, h := range m.hosts {
+		h.app.Answer(standin.Fails)
+	}
+	m.get(0, portCallers, "/one/a", "failed")
+	ask := func() *burn.Report {
+		status, text := m.get(1, portMetrics, "/burn?timeout=5s", "")
+		is.Equal(status, http.StatusOK)
+		r := &burn.Report{}
+		is.NoErr(json.Unmarshal([]byte(text), r))
+		return r
+	}
+	r := ask()
+	is.Equal(r.Asked, 3)
+	is.Equal(len(r.Silent), 0)
+	is.Equal(len(r.Counts), 2)
+	for _, c := range r.Counts {
+		is.Equal(c.Service, "x")
+		is.Equal(c.Good+c.Bad, int64(7))
+		is.True(c.Bad >= 1)
+		is.True(c.Rate > 1)
+	}
+	cut := m.hosts[2]
+	cut.stop()
+	is.NoErr(<-cut.done)
+	is.Equal(ask().Silent, []string{cut.ip})
+}
