Causes of failed requests found from the lines of running sidecars; the demo's mesh of processes stands in scenario/

Cause: the three kinds of failed request were explained from written lines only.

Change: TestCauseOfARefusalInABurst, TestCauseOfAnUnknownOutcome and TestCauseOfAMissingRule run jaypitchd as processes on the stand-ins and find the cause from what they wrote, also without the lines of the host that decided. scenario.Mesh is the demo's rig, shared with them.

--- /dev/null
+++ b/cmd/jaypitchd/explain_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jaypitch/jaypitch/explain"
+	"github.com/jaypitch/jaypitch/platform"
+	"github.com/jaypitch/jaypitch/scenario"
+	"github.com/jaypitch/jaypitch/standin"
+)
+
+// eventually polls until a condition holds; the limit only ends a test that hangs.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(time.Minute); time.Now().Before(limit); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// newMesh starts two hosts as processes; only the second one's server is listed, so all requests go there.
+func newMesh(t *testing.T, network, slots int, work time.Duration) *scenario.Mesh {
+	t.Helper()
+	dir := t.TempDir()
+	daemon := filepath.Join(dir, "jaypitchd")
+	if out, err := exec.Command("go", "build", "-o", daemon, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	m, err := scenario.NewMesh(daemon, dir, network, "/one/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	for range 2 {
+		if err := m.AddHost(slots, work); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.List(1, slots)
+	eventually(t, "every sidecar serves the rule", func() bool { return m.All("callers", "/one/a", http.StatusOK) })
+	return m
+}
+
+// causeOf explains a request from the lines of some hosts, once they have written its end.
+func causeOf(t *testing.T, id string, hosts ...*scenario.MeshHost) *explain.Story {
+	t.Helper()
+	var story *explain.Story
+	eventually(t, "the end of request "+id+" is written", func() bool {
+		text := ""
+		for _, h := range hosts {
+			text += h.Lines()
+		}
+		lines, err := explain.Read(strings.NewReader(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, e := explain.Explain(lines, id)
+		story = s
+		return e == nil && s.Cause != ""
+	})
+	return story
+}
+
+// TestCauseOfARefusalInABurst sends more than the server can take and explains a refusal from all lines, and without the receiver's.
+func TestCauseOfARefusalInABurst(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 1, 1, 300*time.Millisecond)
+	const burst = 12
+	statuses := make(chan [2]string, burst)
+	for i := range burst {
+		go func() {
+			id := fmt.Sprintf("burst-%d", i)
+			status := m.Get(0, "callers", "/one/a", id, http.Header{platform.Names.TimeLeftMS: {"700"}})
+			statuses <- [2]string{id, fmt.Sprint(status)}
+		}()
+	}
+	var refused []string
+	for range burst {
+		if s := <-statuses; s[1] == "503" {
+			refused = append(refused, s[0])
+		}
+	}
+	is.True(len(refused) > 0)
+	byReceiver := 0
+	for _, id := range refused {
+		whole, part := causeOf(t, id, m.Hosts...), causeOf(t, id, m.Hosts[0])
+		is.True(strings.Contains(whole.Cause, "refused as not run"))
+		is.True(strings.Contains(part.Cause, "refused as not run"))
+		if strings.Contains(whole.Cause, "sidecar host_1") {
+			byReceiver++
+			is.True(strings.Contains(part.Cause, "sidecar host_0: the sidecar of the server answered"))
+		}
+	}
+	is.True(byReceiver > 0)
+}
+
+// TestCauseOfAnUnknownOutcome kills the sidecar beside the server while that is at work.
+func TestCauseOfAnUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 2, 4, 0)
+	m.Hosts[1].App.Answer(standin.Silent)
+	done := make(chan int)
+	go func() { done <- m.Get(0, "callers", "/one/a", "lost", nil) }()
+	eventually(t, "the server runs the request", func() bool { n, _ := m.Hosts[1].App.Ran("lost"); return n == 1 })
+	is.NoErr(m.Kill(1))
+	status := <-done
+	is.True(status == http.StatusBadGateway || status == http.StatusGatewayTimeout)
+	s := causeOf(t, "lost", m.Hosts...)
+	is.True(strings.Contains(s.Cause, "may have run"))
+	is.True(strings.Contains(s.Cause, "server_1"))
+	is.True(len(s.Missing) > 0)
+}
+
+// TestCauseOfAMissingRule removes a rule and explains the 404.
+func TestCauseOfAMissingRule(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 3, 4, 0)
+	m.Store.Configure(2, scenario.MeshDomain, scenario.MeshService, "/two/")
+	n, id := 0, ""
+	eventually(t, "the rule is gone", func() bool {
+		n++
+		id = fmt.Sprintf("gone-%d", n)
+		return m.Get(0, "callers", "/one/a", id, nil) == http.StatusNotFound
+	})
+	s := causeOf(t, id, m.Hosts[0])
+	is.True(strings.Contains(s.Cause, "version 2"))
+}
