A sidecar that hears of a change from the store lets three others know

Change: what the store told is announced to three random others by the question that exists already, which bears the asker's revision; the asked one asks back. Who hears of it from others doesn't announce it, so the work is bounded by the readers.

TestAChangeIsAnnounced fails without it.

--- a/meshpeer/client.go
+++ b/meshpeer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"connectrpc.com/connect"
@@ -29,9 +30,9 @@
 	compressFrom = 1024
 )
 
-// NewClient makes a client.
-func NewClient() *Client {
-	d := &net.Dialer{Timeout: dialWait}
+// NewClient makes a client whose connections come from an address of this host, by which others know whom to ask back.
+func NewClient(own netip.Addr) *Client {
+	d := &net.Dialer{Timeout: dialWait, LocalAddr: &net.TCPAddr{IP: own.AsSlice()}}
 	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTime, DisableCompression: true}}}
 }
 
--- a/meshpeer/server.go
+++ b/meshpeer/server.go
@@ -21,20 +21,22 @@
 	age   func() time.Duration
 	find  func(*schema.Subject) evidence.Finding
 	burn  func() []burn.Count
+	heard func(remote string, revision int64)
 }
 
 var _ schemaconnect.MeshPeerHandler = (*Server)(nil)
 
 // NewHandler makes the handler and the path that it stands at; age returns the time since the store confirmed what is held, find
-// what this sidecar enforces of a subject, and counts its good and bad requests.
-func NewHandler(state *mesh.State, age func() time.Duration, find func(*schema.Subject) evidence.Finding, counts func() []burn.Count) (string, http.Handler) {
-	return schemaconnect.NewMeshPeerHandler(&Server{state: state, age: age, find: find, burn: counts}, connect.WithCompressMinBytes(compressFrom))
+// what this sidecar enforces of a subject, and counts its good and bad requests; heard is told what each asker holds.
+func NewHandler(state *mesh.State, age func() time.Duration, find func(*schema.Subject) evidence.Finding, counts func() []burn.Count, heard func(remote string, revision int64)) (string, http.Handler) {
+	return schemaconnect.NewMeshPeerHandler(&Server{state: state, age: age, find: find, burn: counts, heard: heard}, connect.WithCompressMinBytes(compressFrom))
 }
 
 // Held returns everything that changed after a revision of the store.
 func (s *Server) Held(_ context.Context, r *connect.Request[schema.HeldRequest]) (*connect.Response[schema.HeldResponse], error) {
 	// The age is taken first, so that it is never told of a newer state than it belongs to.
 	age := s.age()
+	s.heard(r.Peer().Addr, r.Msg.GetAfter())
 	out := s.state.After(r.Msg.GetAfter(), r.Msg.GetVersion())
 	out.SourceAgeUs = age.Microseconds()
 	return connect.NewResponse(out), nil
--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -22,6 +22,9 @@
 	sidecar *Sidecar
 	client  *meshpeer.Client
 	ahead   chan string
+	// news is signalled when the store told of a change.
+	news    chan struct{}
+	telling sync.WaitGroup
 }
 
 // inquiry asks one sidecar what it holds.
@@ -42,6 +45,8 @@
 	kicksAtOnce = 20
 	// askedAtOnce is how many sidecars are asked at once, since some of them may be cut off.
 	askedAtOnce = 3
+	// toldAtOnce is how many sidecars one that reads the store lets know of a change; the rest hear of it with requests and replies.
+	toldAtOnce = 3
 	// readers is how many sidecars wait at the store for changes; the others hear of them from these.
 	readers = 3
 	// gatherPause lets changes that follow each other be asked for at once.
@@ -69,6 +74,7 @@
 	c := f.sidecar
 	t := time.NewTicker(followerTick)
 	defer t.Stop()
+	defer f.telling.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -76,6 +82,8 @@
 		case address := <-f.ahead:
 			time.Sleep(gatherPause)
 			f.ask(ctx, address)
+		case <-f.news:
+			f.tell(ctx)
 		case <-t.C:
 			if c.fresh.age() > staleFrom+rand.N(staleSpread) {
 				f.refresh(ctx)
@@ -84,6 +92,22 @@
 	}
 }
 
+// announce lets a few others know that the store told of a change: a question bears the revision that the asker holds.
+func (f *follower) announce() {
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
+}
+
+// tell asks a few others and doesn't wait for them, since some may be cut off.
+func (f *follower) tell(ctx context.Context) {
+	for _, address := range f.others(toldAtOnce) {
+		f.telling.Add(1)
+		go (&inquiry{follower: f, address: address, wg: &f.telling}).run(ctx)
+	}
+}
+
 // refresh asks a few other sidecars at once, and the store itself if none of them knows more.
 func (f *follower) refresh(ctx context.Context) {
 	c := f.sidecar
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -75,6 +75,8 @@
 }
 
 const (
+	// fromStore names the store as the source of an update; others are named by their address.
+	fromStore = "store"
 	// stopAnnounce is how long a sidecar that stops goes on serving: two readiness questions, one a second, and some.
 	stopAnnounce = 2200 * time.Millisecond
 	// stopQuiet is the time without a request after which listeners are closed.
@@ -99,7 +101,7 @@
 	}
 	c.peerPort = listen.Port()
 	c.fresh = &freshness{now: c.now}
-	c.follower = &follower{sidecar: c, client: meshpeer.NewClient(), ahead: make(chan string, 1)}
+	c.follower = &follower{sidecar: c, client: meshpeer.NewClient(listen.Addr()), ahead: make(chan string, 1), news: make(chan struct{}, 1)}
 	ratio, err := strconv.ParseFloat(s.GetBounds().GetRetryRatio(), 64)
 	if err != nil {
 		return nil, eris.Wrap(err, "reading the retry ratio")
@@ -109,7 +111,7 @@
 	c.others = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()))
 	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.Names, c.state, c.fresh.age, c.backend, c.now, c.received)
 	control := http.NewServeMux()
-	control.Handle(meshpeer.NewHandler(c.state, c.fresh.age, c.find, c.burnCounts))
+	control.Handle(meshpeer.NewHandler(c.state, c.fresh.age, c.find, c.burnCounts, c.heardSender))
 	control.HandleFunc("GET "+hop.LifePath, func(http.ResponseWriter, *http.Request) {})
 	c.peers = hop.NewServer(c.receiver, p.Names.RequestID, c.now, c.stopping.Load, c.heardSender, control)
 	chooser := route.NewChooser(s.GetSidecar().GetDataCentre(), rand.Float64)
@@ -194,6 +196,9 @@
 	if len(change.Servers) > 0 {
 		c.dispatcher.Keep(c.state.Table())
 	}
+	if from == fromStore && (change.Config || len(change.Servers) > 0) {
+		c.follower.announce()
+	}
 	return change
 }
 
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -373,3 +373,24 @@
 	is.NoErr(<-cut.done)
 	is.Equal(ask().Silent, []string{cut.ip})
 }
+
+// TestAChangeIsAnnounced keeps the sidecar that doesn't read the store from asking others: it hears of a change from one that does.
+func TestAChangeIsAnnounced(t *testing.T) {
+	m := newMesh(t, 12, 4)
+	var other *Sidecar
+	m.eventually("three of four read the store", func() bool {
+		n := 0
+		for _, h := range m.hosts {
+			if !h.sidecar.reads() {
+				other = h.sidecar
+				n++
+			}
+		}
+		return n == 1
+	})
+	m.configure(2, "x", "/two/")
+	m.eventually("the new version is in force", func() bool {
+		other.fresh.confirm(time.Now())
+		return other.state.Table().Version == 2
+	})
+}
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -130,7 +130,7 @@
 		return err
 	}
 	u.VanishedUntil = w.answered()
-	w.merge(u, "store")
+	w.merge(u, fromStore)
 	w.fresh.confirm(confirmed)
 	return nil
 }
