--- a/scenario/mesh.go
+++ b/scenario/mesh.go
@@ -51,14 +51,17 @@
 }
 
 const (
-	// MeshDomain is the host name of the rules, MeshService the service of all servers.
-	MeshDomain  = "mesh.example"
+	// MeshDomain is the host name of the rules.
+	MeshDomain = "mesh.example"
+	// MeshService is the service of all servers.
 	MeshService = "entries"
 	// settingsName is the variable with the path of a sidecar's settings.
 	settingsName = "JAYPITCH_SETTINGS"
+	// storeReads is the rate of reading calls of the stand-in's store a second, as the users' store has; storeHistory how many changes it remembers.
 	storeReads   = 2000
 	storeHistory = 50
-	headerWait   = 10 * time.Second
+	// headerWait bounds the time for a head; far above any on loopback.
+	headerWait = 10 * time.Second
 )
 
 // NewMesh starts a store whose first configuration has the given prefixes. The network differs for meshes that run at once.
