Few sidecars ask a store that is down

Change: once the store has failed twice in a row here, one sidecar of the fleet asks at a look instead of twenty; readers go on with their own retries.

--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -43,6 +43,10 @@
 	// kicksAtOnce is how many sidecars of the fleet ask the store at one look, so that a herd that hears nothing doesn't take its rate;
 	// each of them tells the others.
 	kicksAtOnce = 20
+	// downFrom is how many times the store has to fail in a row to count as down; kicksWhileDown of the fleet ask it then at one look,
+	// seven calls a second in all.
+	downFrom       = 2
+	kicksWhileDown = 1
 	// askedAtOnce is how many sidecars are asked at once, since some of them may be cut off.
 	askedAtOnce = 3
 	// toldAtOnce is how many sidecars one that reads the store lets know of a change; the rest hear of it with requests and replies.
@@ -117,11 +121,20 @@
 		go (&inquiry{follower: f, address: address, wg: &wg}).run(ctx)
 	}
 	wg.Wait()
-	if c.fresh.age() > staleFrom && rand.Float64()*float64(c.state.Table().Hosts()) < kicksAtOnce {
+	if c.fresh.age() > staleFrom && rand.Float64()*float64(c.state.Table().Hosts()) < kicks(c.watcher.failed()) {
 		c.watcher.kick()
 	}
 }
 
+// kicks is how many sidecars of the fleet ask the store at one look. Once it has failed here twice it is most likely down for all, and
+// one that sees its return tells the others.
+func kicks(failures int) float64 {
+	if failures >= downFrom {
+		return kicksWhileDown
+	}
+	return kicksAtOnce
+}
+
 func (i *inquiry) run(ctx context.Context) {
 	defer i.wg.Done()
 	i.follower.ask(ctx, i.address)
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -69,7 +69,7 @@
 			whole = true
 			continue
 		case err != nil:
-			w.failed(ctx, err)
+			w.retreat(ctx, err)
 			// What others heard of the store since is as good as its own word.
 			whole = whole && w.fresh.age() > staleFrom
 			continue
@@ -151,8 +151,15 @@
 	return until
 }
 
-// failed notes a failure and waits, longer each time.
-func (w *watcher) failed(ctx context.Context, err error) {
+// failed returns how many times in a row the store has failed.
+func (w *watcher) failed() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failures
+}
+
+// retreat notes a failure and waits, longer each time.
+func (w *watcher) retreat(ctx context.Context, err error) {
 	w.mu.Lock()
 	if w.failingSince.IsZero() {
 		w.failingSince = w.now()
