Log and count what backend servers state about themselves

Callers saw nothing of it, and neither did operators: no line or metric told whether a sidecar knew the limit that its backend server had named, or how many requests it sent.

platform/ decodes the two headers, the receiver logs each change as 'server notice' and counts requests to the server by whether it named a limit; the stand-in learns to send both. Nothing acts on a notice yet.

--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -36,8 +36,17 @@
 	// failing is the moving average of the share of failed requests, by rule.
 	failing  map[string]float64
 	stopping bool
+	// notice is the latest notice of the server with serverID.
+	notice jaypitch.ServerNotice
+
+	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
+	recordNotice func(serverID string, n jaypitch.ServerNotice)
+	refuseNotice func(serverID string, e *jaypitch.Error)
 }
 
+// Option configures a Receiver.
+type Option func(*Receiver)
+
 // stream is the rest of a response body that is too long to buffer. The request holds its slot until the stream is closed.
 type stream struct {
 	io.ReadCloser
@@ -64,9 +73,20 @@
 // NewReceiver returns a receiver for the backend server at an address. SourceAge returns the time since the store confirmed the replica. Record is
 // called with each request, its response and its queue time.
 func NewReceiver(address string, names jaypitch.HeaderNames, replica *mesh.Replica, sourceAge func() time.Duration, pool *http1.Pool, now func() time.Time,
-	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, queueTime time.Duration)) *Receiver {
-	return &Receiver{address: address, names: names, replica: replica, sourceAge: sourceAge, pool: pool, now: now, record: record,
+	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, queueTime time.Duration), options ...Option) *Receiver {
+	r := &Receiver{address: address, names: names, replica: replica, sourceAge: sourceAge, pool: pool, now: now, record: record,
 		slots: admit.NewSlots(defaultSlots, rand.Float64), random: rand.Float64, failing: map[string]float64{}}
+	for _, o := range options {
+		o(r)
+	}
+	return r
+}
+
+// WithNotices makes the receiver decode the server's notices. Record is called with each notice that differs from the one before, and
+// refuse with the error of each notice that can't be decoded.
+func WithNotices(decode func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error), record func(serverID string, n jaypitch.ServerNotice),
+	refuse func(serverID string, e *jaypitch.Error)) Option {
+	return func(r *Receiver) { r.decodeNotice, r.recordNotice, r.refuseNotice = decode, record, refuse }
 }
 
 // Stop makes the receiver refuse new and queued requests.
@@ -204,6 +224,7 @@
 		r.serverID = id
 		r.slots.Reset()
 		clear(r.failing)
+		r.notice = jaypitch.ServerNotice{}
 	}
 	if v != nil {
 		r.slots.Resize(int(v.GetSlots()))
@@ -222,6 +243,7 @@
 		return response
 	}
 	response := r.classify(f, a)
+	r.observeNotice(f, a.Header, response)
 	if response.Execution == jaypitch.Executed {
 		body, more, err := readBody(a)
 		response.Body = body
@@ -292,6 +314,37 @@
 	return &jaypitch.MeshResponse{Execution: jaypitch.Executed, Code: jaypitch.CodeOK, Status: a.StatusCode, Header: a.Header, Arrived: true}
 }
 
+// observeNotice takes over the server's notice in the header of a response. Only a response that the server made as its result for the request
+// counts: other bytes on the connection may be from another server, or malformed.
+func (r *Receiver) observeNotice(f *jaypitch.MeshRequest, h http.Header, response *jaypitch.MeshResponse) {
+	if r.decodeNotice == nil || response.Code != jaypitch.CodeOK && response.Code != jaypitch.CodeShed {
+		return
+	}
+	n, e := r.decodeNotice(h)
+	if e != nil {
+		r.refuseNotice(f.ServerID, e)
+	}
+	r.mu.Lock()
+	if r.serverID != f.ServerID {
+		// The address belongs to another server by now.
+		r.mu.Unlock()
+		return
+	}
+	changed := r.notice != n
+	r.notice = n
+	r.mu.Unlock()
+	if changed {
+		r.recordNotice(f.ServerID, n)
+	}
+}
+
+// Notice returns the latest notice of the server.
+func (r *Receiver) Notice() jaypitch.ServerNotice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.notice
+}
+
 // recordResult updates the rule's share of failed requests and releases the slot.
 func (r *Receiver) recordResult(w *admit.SlotRequest, response *jaypitch.MeshResponse, serviceTime time.Duration) {
 	failed := 0.0
--- a/logline/kind.go
+++ b/logline/kind.go
@@ -29,6 +29,8 @@
 	{"stopped", []string{"requests_in_progress"}, "the process ends"},
 	{"version in force", []string{"version", "revision", "rules", "from"}, "a new configuration took effect; from is the store or another sidecar"},
 	{"server", []string{"server", "service", "address", "draining", "gone", "revision", "from"}, "the recorded state of a backend server changed"},
+	{"server notice", []string{"server", "limited", "limit", "leaving"}, "the backend server on this host states something else about itself than before: its limit in requests per second, or that it is leaving"},
+	{"server notice refused", []string{"server", "code", "reason"}, "what the backend server states about itself can't be decoded"},
 	{"sidecar taken for dead", []string{"server", "address", "error"}, "the sidecar beside a server is unresponsive and did not respond to a probe"},
 	{"sidecar gives no answer", []string{"peer", "error"}, "a sidecar did not respond to a request for its configuration"},
 	{"difference refused", []string{"peer", "code", "reason"}, "a difference from another sidecar does not apply to the configuration version on this sidecar"},
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -24,6 +25,7 @@
 	serviceTime        *prometheus.HistogramVec
 	undecodableEntries prometheus.Counter
 	serverConnections  prometheus.Counter
+	serverRequests     *prometheus.CounterVec
 }
 
 const namespace = "jaypitch_sidecar"
@@ -40,8 +42,9 @@
 		serviceTime:        prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "server_seconds", Help: "Time at the backend server (service time), by rank.", Buckets: histogramBuckets}, []string{"rank"}),
 		undecodableEntries: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "entries_refused_total", Help: "Entries of the store that can't be decoded."}),
 		serverConnections:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "server_connections_total", Help: "New connections to the backend server."}),
+		serverRequests:     prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_requests_total", Help: "Requests sent to the backend server, by whether it named a rate limit then."}, []string{"limited"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
+	m.registry.MustRegister(m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
 	gauge := func(name, help string, f func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
 	}
@@ -52,6 +55,13 @@
 	gauge("store_reads", "Reads of the full content of the store.", func() float64 { return float64(c.watcher.fullReadCount()) })
 	gauge("slots_running", "Requests at the backend server.", func() float64 { n, _, _ := c.receiver.Counts(); return float64(n) })
 	gauge("slots_waiting", "Requests queued for a slot.", func() float64 { _, n, _ := c.receiver.Counts(); return float64(n) })
+	gauge("server_limit", "Requests per second that the backend server takes from all hosts together; +Inf if it names no limit.", func() float64 { return rateLimit(c.receiver.Notice()) })
+	gauge("server_leaving", "1 if the backend server says that it is leaving, else 0.", func() float64 {
+		if c.receiver.Notice().Leaving {
+			return 1
+		}
+		return 0
+	})
 	gauge("lines_dropped", "Log lines dropped because the output was too slow or failed.", func() float64 { return float64(dropped()) })
 	return m
 }
@@ -77,6 +87,26 @@
 	}
 }
 
+// recordNotice records that the backend server states something else about itself than before.
+func (c *Sidecar) recordNotice(serverID string, n jaypitch.ServerNotice) {
+	c.log.Info("server notice", zap.String("server", serverID), zap.Bool("limited", n.Limited), zap.Float64("limit", n.RateLimit), zap.Bool("leaving", n.Leaving))
+}
+
+// recordRefusedNotice records a notice of the backend server that can't be decoded.
+func (c *Sidecar) recordRefusedNotice(serverID string, e *jaypitch.Error) {
+	if c.logBudget.Allow("notice", c.now()) {
+		c.log.Warn("server notice refused", zap.String("server", serverID), zap.Int("code", int(e.Code)), zap.String("reason", e.Reason))
+	}
+}
+
+// rateLimit returns the rate limit of a notice in requests per second, infinite if it has none.
+func rateLimit(n jaypitch.ServerNotice) float64 {
+	if !n.Limited {
+		return math.Inf(1)
+	}
+	return n.RateLimit
+}
+
 // recordRequest records a client's request that ended.
 func (c *Sidecar) recordRequest(r outbound.Record) {
 	c.recordBurn(r)
@@ -115,6 +145,9 @@
 
 // recordReceived records one request for the backend server on this host.
 func (c *Sidecar) recordReceived(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, queueTime time.Duration) {
+	if r.Arrived {
+		c.metrics.serverRequests.WithLabelValues(strconv.FormatBool(c.receiver.Notice().Limited)).Inc()
+	}
 	rank := strconv.FormatInt(f.Rank, 10)
 	c.metrics.queueTime.WithLabelValues(rank).Observe(queueTime.Seconds())
 	if r.ServiceTime > 0 {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -37,6 +37,8 @@
 	ReadyPath string
 	// NewSource returns the source that reads the store at an address. It calls onUndecodable for each entry that can't be decoded.
 	NewSource func(address string, now func() time.Time, onUndecodable func(*jaypitch.Error)) jaypitch.MeshSource
+	// DecodeNotice returns what a backend server states about itself in the header of its response.
+	DecodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 }
 
 // Sidecar is one process beside a backend server.
@@ -113,7 +115,8 @@
 	c.backendPool = http1.NewPool(c.now, http1.WithOnDial(c.metrics.recordConnection))
 	// Receivers identify this sidecar by the local address, to poll it for newer revisions.
 	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()))
-	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.HeaderNames, c.replica, c.confirmation.age, c.backendPool, c.now, c.recordReceived)
+	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.HeaderNames, c.replica, c.confirmation.age, c.backendPool, c.now, c.recordReceived,
+		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice))
 	control := http.NewServeMux()
 	control.Handle(meshpeer.NewHandler(c.replica, c.confirmation.age, c.find, c.burnCounts, c.recordSender))
 	control.HandleFunc("GET "+hop.ProbePath, func(http.ResponseWriter, *http.Request) {})
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -122,7 +122,7 @@
 		return platform.NewClient(address, now, onUndecodable)
 	}
 	c, err := New(s, func() (*schema.SidecarSettings, error) { return nil, nil },
-		Platform{HeaderNames: platform.HeaderNames, ReadyPath: platform.ReadyPath, NewSource: source}, zap.NewNop(), func() int64 { return 0 })
+		Platform{HeaderNames: platform.HeaderNames, ReadyPath: platform.ReadyPath, NewSource: source, DecodeNotice: platform.DecodeNotice}, zap.NewNop(), func() int64 { return 0 })
 	if err != nil {
 		m.t.Fatal(err)
 	}
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -26,6 +26,8 @@
 	headers     []http.Header
 	canceled    int
 	connections int
+	// notice holds the lines of the header with what the server states about itself, each with its line end.
+	notice string
 }
 
 // Behaviour is how a MeshServer responds to requests.
@@ -100,6 +102,25 @@
 	s.id = id
 }
 
+// NameLimit makes the server name a limit in all its responses, as a decimal number of requests per second; empty ends that.
+func (s *MeshServer) NameLimit(perSecond string) {
+	s.setNotice("Server-Limit", perSecond)
+}
+
+// Leave makes the server state in all its responses that it is leaving.
+func (s *MeshServer) Leave() {
+	s.setNotice("Server-Leaving", "1")
+}
+
+func (s *MeshServer) setNotice(name, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notice = ""
+	if value != "" {
+		s.notice = name + ": " + value + "\r\n"
+	}
+}
+
 // Executions returns the number of executions of one attempt ID, and of all together.
 func (s *MeshServer) Executions(id string) (times, all int) {
 	s.mu.Lock()
@@ -161,13 +182,13 @@
 // respond serves one request. It reports whether the connection can stay open.
 func (s *MeshServer) respond(w net.Conn, in *bufio.Reader, r *http.Request) bool {
 	s.mu.Lock()
-	b, id, serviceTime := s.behaviour, s.id, s.serviceTime
+	b, id, serviceTime, notice := s.behaviour, s.id, s.serviceTime, s.notice
 	s.headers = append(s.headers, r.Header)
 	full := s.running >= s.slots
 	s.mu.Unlock()
 	attemptID := r.Header.Get("X-Attempt-Id")
 	if b == Early {
-		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: 5\r\n\r\nearly", attemptID)
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: 5\r\n\r\nearly", notice, attemptID)
 		_, err := io.Copy(io.Discard, r.Body)
 		return err == nil
 	}
@@ -177,16 +198,16 @@
 	}
 	switch expect := r.Header.Get("X-Expect-Instance"); {
 	case expect != "" && expect != id:
-		fmt.Fprintf(w, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		fmt.Fprintf(w, "HTTP/1.1 421 Misdirected Request\r\n%sX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", notice, id)
 		return true
 	case full || b == Shedding:
-		fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", attemptID)
+		fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\n%sX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", notice, attemptID)
 		return true
 	}
 	if !s.execute(w, in, r, attemptID, serviceTime) {
 		return false
 	}
-	return s.writeResponse(w, b, attemptID, body)
+	return s.writeResponse(w, b, notice, attemptID, body)
 }
 
 // execute occupies a slot for the service time, or until the request's deadline. It returns false if the client closed the
@@ -216,13 +237,13 @@
 	return false
 }
 
-func (s *MeshServer) writeResponse(w net.Conn, b Behaviour, attemptID string, body []byte) bool {
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", attemptID, len(body)+2, body) + "ok"
+func (s *MeshServer) writeResponse(w net.Conn, b Behaviour, notice, attemptID string, body []byte) bool {
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", notice, attemptID, len(body)+2, body) + "ok"
 	switch b {
 	case Extra:
 		response += response
 	case Unframed:
-		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\n\r\n%sok", attemptID, body)
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\n\r\n%sok", notice, attemptID, body)
 		return false
 	case Truncated:
 		_, _ = io.WriteString(w, response[:len(response)-1])
@@ -236,7 +257,7 @@
 	case Malformed:
 		response = "\x00\x01 no answer\r\n\r\n"
 	case Failing:
-		response = fmt.Sprintf("HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n", attemptID)
+		response = fmt.Sprintf("HTTP/1.1 500 Internal Server Error\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n", notice, attemptID)
 	case WrongAttemptID:
 		response = "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno"
 	case Unstamped:
