Keep to the rate limit that a backend server names

Cause: no sidecar acted on the header. Evidence: receivers knew the limits within 0.3 s and they were constant (lines 'server notice'), while the excess lasted for all of the 19 s.

Change: the sidecar beside a server, through which all its requests go, paces them with admit.Pacer. Its load report tells senders the limit and when it has room, and the picker adds that time to a server's cost. A sender tells the limit with each request, for a receiver that has just started. A request that can't start in time is refused on arrival with the new code 127 and the time until there is room. The data between sidecars is in a header of name=value pairs that older builds ignore, and older senders get code 105 in place of 127.

Why it works: one process starts all requests at a server, so no agreement is needed, and what it doesn't know after a restart comes with the first request.

--- a/admit/slots.go
+++ b/admit/slots.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -22,7 +23,7 @@
 	started time.Time
 }
 
-// Slots assigns the slots of one backend server. The request with the earliest target deadline goes first, and a request that can't complete by its
+// Slots assigns the slots of one backend server, and keeps to the rate limit that the server names. The request with the earliest target deadline goes first, and a request that can't complete by its
 // deadline doesn't start. Once the queue has not been empty for a while, requests are refused at random, with a probability that grows with
 // the queue and is somewhat higher for less urgent ranks. It isn't safe for concurrent use.
 type Slots struct {
@@ -33,6 +34,8 @@
 	// meanServiceUS is the mean service time of all rules' requests, in microseconds.
 	meanServiceUS float64
 	random        func() float64
+	// pacer holds the limit that the server names.
+	pacer Pacer
 	// lastEmpty is when a request last arrived at an empty queue.
 	lastEmpty time.Time
 }
@@ -77,9 +80,38 @@
 	s.size = max(1, size)
 }
 
-// Reset discards the measured service times, for a new server at the same address.
+// Reset discards the measured service times and the rate limit, for a new server at the same address.
 func (s *Slots) Reset() {
 	s.rules, s.meanServiceUS = map[string]*ruleStats{}, slotsInitialMeanUS
+	s.pacer.Clear()
+}
+
+// SetLimit sets the rate limit that the server names, in requests per second.
+func (s *Slots) SetLimit(perSecond float64, now time.Time) {
+	s.pacer.SetLimit(perSecond, now)
+}
+
+// ClearLimit removes the rate limit. The caller starts the queued requests that Next returns then.
+func (s *Slots) ClearLimit() {
+	s.pacer.Clear()
+}
+
+// Limited reports whether the server names a rate limit.
+func (s *Slots) Limited() bool {
+	return s.pacer.Limited()
+}
+
+// LimitWait returns the time until the rate limit allows a request to start that comes after all queued ones.
+func (s *Slots) LimitWait(now time.Time) time.Duration {
+	return s.pacer.Wait(len(s.queue)+1, now)
+}
+
+// NextStart returns when the rate limit allows the next queued request to start; zero if none is queued, or if it waits for a slot.
+func (s *Slots) NextStart(now time.Time) time.Time {
+	if !s.pacer.Limited() || len(s.queue) == 0 || len(s.inProgress) >= s.size {
+		return time.Time{}
+	}
+	return now.Add(s.pacer.Wait(1, now))
 }
 
 // Admit starts a request, queues it or refuses it. It reports whether the request starts now, and returns an error if it is refused.
@@ -93,7 +125,7 @@
 	if len(s.queue) == 0 {
 		s.lastEmpty = now
 	}
-	free := len(s.inProgress) < s.size && len(s.queue) == 0
+	free := s.free(now) && len(s.queue) == 0
 	queueTime := time.Duration(0)
 	if !free {
 		queueTime = s.ExpectedQueueTime(w, now)
@@ -137,7 +169,7 @@
 		}
 		return late
 	})
-	for len(s.inProgress) < s.size && len(s.queue) > 0 {
+	for s.free(now) && len(s.queue) > 0 {
 		i := s.nextIndex(now)
 		w := s.queue[i]
 		s.queue = slices.Delete(s.queue, i, i+1)
@@ -157,21 +189,34 @@
 	return true
 }
 
-// ExpectedQueueTime estimates the queue time of a request that arrives now.
+// ExpectedQueueTime estimates the queue time of a request that arrives now: until a slot is free for it, and the rate limit allows it.
 func (s *Slots) ExpectedQueueTime(w *SlotRequest, now time.Time) time.Duration {
+	slotTime, limitTime := s.expectedQueueTimes(w, now)
+	return max(slotTime, limitTime)
+}
+
+// expectedQueueTimes estimates the time until a slot is free for a request that arrives now, and until the rate limit allows it.
+func (s *Slots) expectedQueueTimes(w *SlotRequest, now time.Time) (slotTime, limitTime time.Duration) {
 	ahead := len(s.inProgress) - s.size + 1
 	work := max(0, float64(ahead)) * s.meanServiceUS
+	before := 0
 	for _, o := range s.queue {
 		if startsBefore(o, w, now) {
 			work += float64(s.MeanServiceTime(o.Rule).Microseconds())
+			before++
 		}
 	}
-	return time.Duration(work/float64(s.size)) * time.Microsecond
+	return time.Duration(work/float64(s.size)) * time.Microsecond, s.pacer.Wait(before+1, now)
 }
 
-// RetryAfter estimates after how long a refused request would complete by its target deadline.
+// RetryAfter estimates after how long a refused request would complete by its target deadline. If the rate limit refused it, that is when
+// the limit allows a further request.
 func (s *Slots) RetryAfter(w *SlotRequest, now time.Time) time.Duration {
-	over := now.Add(s.ExpectedQueueTime(w, now) + s.MeanServiceTime(w.Rule)).Sub(w.TargetDeadline)
+	slotTime, limitTime := s.expectedQueueTimes(w, now)
+	if limitTime > slotTime {
+		return s.LimitWait(now)
+	}
+	over := now.Add(slotTime + s.MeanServiceTime(w.Rule)).Sub(w.TargetDeadline)
 	return max(over, s.MeanServiceTime(w.Rule)/time.Duration(s.size))
 }
 
@@ -233,8 +278,9 @@
 // target deadlines.
 func (s *Slots) overloaded(w *SlotRequest, queueTime time.Duration, now time.Time) *jaypitch.Error {
 	need := scale(s.MeanServiceTime(w.Rule), targetMargin)
+	code, limiting := s.limitingFactor(w, now)
 	if now.Add(queueTime + need).After(w.Deadline) {
-		return jaypitch.Errorf(jaypitch.CodeOverloaded, "the queue time of %s and the service time of %s exceed the time left before the deadline", queueTime, need)
+		return jaypitch.Errorf(code, "the queue time of %s and the service time of %s exceed the time left before the deadline%s", queueTime, need, limiting)
 	}
 	if now.Sub(s.lastEmpty) < max(minStandingTime, s.MeanServiceTime(w.Rule)) {
 		return nil
@@ -242,11 +288,20 @@
 	limit := s.maxQueueTime(w)
 	backlog := s.backlog()
 	if probability := (float64(backlog)/float64(limit) - refusalStart) / (1 - refusalStart); s.random() < probability {
-		return jaypitch.Errorf(jaypitch.CodeOverloaded, "the queue has not been empty for %s and takes %s to empty; the limit is %s", now.Sub(s.lastEmpty), backlog, limit)
+		return jaypitch.Errorf(code, "the queue has not been empty for %s and takes %s to empty; the limit is %s%s", now.Sub(s.lastEmpty), backlog, limit, limiting)
 	}
 	return nil
 }
 
+// limitingFactor returns the code of a refusal, and what to add to its reason: the server's rate limit, or its slots, whichever makes the
+// request wait longer.
+func (s *Slots) limitingFactor(w *SlotRequest, now time.Time) (jaypitch.Code, string) {
+	if slotTime, limitTime := s.expectedQueueTimes(w, now); limitTime > slotTime {
+		return jaypitch.CodeServerLimit, fmt.Sprintf("; by its limit the server takes a request every %s", s.pacer.Interval())
+	}
+	return jaypitch.CodeOverloaded, ""
+}
+
 // maxQueueTime is the longest queue time with which requests of the rule, and of rules of more urgent ranks, still meet their targets.
 func (s *Slots) maxQueueTime(w *SlotRequest) time.Duration {
 	limit := s.slack(w.Rule, s.rules[w.Rule])
@@ -270,16 +325,22 @@
 	return max(r.target-scale(mean, targetMargin), mean/2)
 }
 
-// backlog is the time that the slots take to serve all queued requests.
+// backlog is the time until all queued requests have started.
 func (s *Slots) backlog() time.Duration {
 	var sum time.Duration
 	for _, w := range s.queue {
 		sum += s.MeanServiceTime(w.Rule)
 	}
-	return sum / time.Duration(s.size)
+	return max(sum/time.Duration(s.size), time.Duration(len(s.queue))*s.pacer.Interval())
+}
+
+// free reports whether a slot is free and the rate limit allows a request to start.
+func (s *Slots) free(now time.Time) bool {
+	return len(s.inProgress) < s.size && s.pacer.Wait(1, now) == 0
 }
 
 func (s *Slots) start(w *SlotRequest, now time.Time) {
+	s.pacer.Start(now)
 	w.started = now
 	s.inProgress[w] = true
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -43,6 +43,9 @@
 	Queued          int       `json:"waiting,omitempty"`
 	Draining        bool      `json:"draining,omitempty"`
 	Gone            bool      `json:"gone,omitempty"`
+	Limited         bool      `json:"limited,omitempty"`
+	RateLimit       float64   `json:"limit,omitempty"`
+	Leaving         bool      `json:"leaving,omitempty"`
 	SuppressedLines int64     `json:"lines,omitempty"`
 	Kind            string    `json:"kind,omitempty"`
 }
@@ -267,6 +270,12 @@
 	if l.Slots > 0 {
 		add("%d of %d slots used, %d queued", l.InProgress, l.Slots, l.Queued)
 	}
+	if l.Limited {
+		add("takes %g requests a second", l.RateLimit)
+	}
+	if l.Leaving {
+		add("leaving")
+	}
 	if l.Draining {
 		add("draining")
 	}
--- a/hop/client.go
+++ b/hop/client.go
@@ -83,7 +83,11 @@
 	if h == nil {
 		h = http.Header{}
 	}
-	h[headerAttempt] = []string{formatAttempt(f, c.now())}
+	now := c.now()
+	h[headerAttempt] = []string{formatAttempt(f, now)}
+	if notice := formatRequestNotice(f, now); notice != "" {
+		h[headerNotice] = []string{notice}
+	}
 	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: f.Body, ExpectContinue: f.ExpectContinue}
 }
 
@@ -113,6 +117,7 @@
 	if e := parseResponse(a.Header.Get(headerResponse), r); e != nil {
 		return nil, e
 	}
+	parseResponseNotice(a.Header.Get(headerNotice), r)
 	if r.Execution != jaypitch.Executed {
 		r.Reason = "the sidecar of the server answered " + r.Code.Info().Name
 	}
--- a/hop/headers.go
+++ b/hop/headers.go
@@ -20,8 +20,11 @@
 	// a single header of fields joined by separator, to save bytes between data centres.
 	headerAttempt  = "Jaypitch-Pass"
 	headerResponse = "Jaypitch-Reply"
-	headerLength   = "Content-Length"
-	separator      = ";"
+	// headerNotice holds what sidecars tell each other of the backend server, as name=value pairs joined by separator. Names that aren't
+	// known, and sidecars that don't send the header, are accepted.
+	headerNotice = "Jaypitch-Notice"
+	headerLength = "Content-Length"
+	separator    = ";"
 
 	attemptFields  = 9
 	responseFields = 14
@@ -90,7 +93,7 @@
 // formatResponse returns the value of headerResponse for a response.
 func formatResponse(r *jaypitch.MeshResponse) string {
 	l := r.LoadReport
-	return strings.Join([]string{string(r.Execution), formatInt(int64(r.Code)), formatBool(r.Arrived), formatInt(r.ServiceTime.Microseconds()),
+	return strings.Join([]string{string(r.Execution), formatInt(int64(olderCode(r.Code))), formatBool(r.Arrived), formatInt(r.ServiceTime.Microseconds()),
 		formatInt(r.QueueTime.Microseconds()), formatInt(r.RetryAfter.Microseconds()),
 		formatInt(int64(l.InProgress)), formatInt(int64(l.Queued)), formatInt(int64(l.Slots)), formatInt(l.Mean.Microseconds()),
 		formatInt(int64(l.Failing * failingScale)), formatBool(l.Stopping), formatInt(l.Revision), formatInt(l.SourceAge.Microseconds())}, separator)
--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -65,7 +65,8 @@
 	return &jaypitch.MeshRequest{ID: "one", Method: http.MethodPut, Target: "/a//b?c=%20d", Host: "h.example",
 		Header: http.Header{"Id": {"one"}, "Other": {"x", "y"}}, Body: []byte("body"),
 		Rule: "r;1", Rank: 2, Idempotent: true, ServerID: "i-1", CallerService: "s;v",
-		Deadline: fixedNow().Add(time.Second), TargetDeadline: fixedNow().Add(time.Second / 2), CompleteBy: fixedNow().Add(time.Millisecond), Revision: 7}
+		Deadline: fixedNow().Add(time.Second), TargetDeadline: fixedNow().Add(time.Second / 2), CompleteBy: fixedNow().Add(time.Millisecond), Revision: 7,
+		LimitHeardAt: fixedNow().Add(-3 * time.Second), RateLimit: 2.5}
 }
 
 func TestForwardRoundTrip(t *testing.T) {
@@ -73,7 +74,7 @@
 	want := &jaypitch.MeshResponse{Execution: jaypitch.Executed, Code: jaypitch.CodeOK, Arrived: true, Status: http.StatusTeapot,
 		Header: http.Header{"Stamp": {"z"}}, Body: []byte("answer"), ServiceTime: 3 * time.Millisecond, QueueTime: time.Millisecond,
 		LoadReport: jaypitch.MeshLoadReport{InProgress: 1, Queued: 2, Slots: 3, Mean: time.Second, Failing: 0.25,
-			Stopping: true, Revision: 9, SourceAge: time.Second}}
+			Stopping: true, Limited: true, RateLimit: 18.8, LimitWait: 40 * time.Millisecond, Revision: 9, SourceAge: time.Second}}
 	a := &fakeReceiver{response: want}
 	c, address := newClient(t, a)
 	got := c.Forward(context.Background(), address, request())
@@ -85,7 +86,7 @@
 }
 
 func TestForwardRefused(t *testing.T) {
-	for _, code := range []jaypitch.Code{jaypitch.CodeOverloaded, jaypitch.CodeStopping, jaypitch.CodeMisdirected} {
+	for _, code := range []jaypitch.Code{jaypitch.CodeOverloaded, jaypitch.CodeServerLimit, jaypitch.CodeStopping, jaypitch.CodeMisdirected} {
 		t.Run(code.Info().Name, func(t *testing.T) {
 			is := is.New(t)
 			c, address := newClient(t, &fakeReceiver{response: &jaypitch.MeshResponse{Execution: jaypitch.NotExecuted, Code: code, RetryAfter: time.Second}})
@@ -205,3 +206,31 @@
 	is.Equal(r.Execution, jaypitch.NotExecuted)
 	is.Equal(r.Code, jaypitch.CodeCallerGone)
 }
+
+// TestNoticeBesideOlderSidecars checks that a sidecar of a build without notices is understood, and gets only codes and headers that it knows.
+func TestNoticeBesideOlderSidecars(t *testing.T) {
+	refusal := &jaypitch.MeshResponse{Execution: jaypitch.NotExecuted, Code: jaypitch.CodeServerLimit,
+		LoadReport: jaypitch.MeshLoadReport{Limited: true, RateLimit: 2, LimitWait: time.Second}}
+	t.Run("an older sender gets a code that it knows", func(t *testing.T) {
+		is := is.New(t)
+		got := &jaypitch.MeshResponse{}
+		is.True(parseResponse(formatResponse(refusal), got) == nil)
+		is.Equal(got.Code, jaypitch.CodeOverloaded)
+		is.True(!got.LoadReport.Limited)
+	})
+	t.Run("the response of an older receiver has no limit", func(t *testing.T) {
+		is := is.New(t)
+		got := &jaypitch.MeshResponse{Code: jaypitch.CodeOverloaded}
+		parseResponseNotice("", got)
+		is.Equal(got, &jaypitch.MeshResponse{Code: jaypitch.CodeOverloaded})
+	})
+	t.Run("unknown names and invalid values are ignored", func(t *testing.T) {
+		is := is.New(t)
+		got := &jaypitch.MeshResponse{Code: jaypitch.CodeOverloaded}
+		parseResponseNotice("limit=x;wait=1;later=3;code=100;=;", got)
+		is.Equal(got, &jaypitch.MeshResponse{Code: jaypitch.CodeOverloaded})
+		f := &jaypitch.MeshRequest{}
+		parseRequestNotice("limit=-1;age=5", f, fixedNow())
+		is.Equal(f, &jaypitch.MeshRequest{})
+	})
+}
--- /dev/null
+++ b/hop/notice.go
@@ -0,0 +1,100 @@
+package hop
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jaypitch/jaypitch"
+)
+
+// Names of the pairs in headerNotice.
+const (
+	// noticeLimit is the rate limit that the backend server names, in requests per second.
+	noticeLimit = "limit"
+	// noticeAge is, in a request, the time since the sender heard of the limit, in microseconds.
+	noticeAge = "age"
+	// noticeWait is, in a response, the time until the limit has room for a further request, in microseconds.
+	noticeWait = "wait"
+	// noticeCode is, in a response, a result code that older sidecars don't know. They get the code in headerResponse.
+	noticeCode = "code"
+)
+
+// olderCodes are the codes that older sidecars get instead of a code that they don't know.
+var olderCodes = map[jaypitch.Code]jaypitch.Code{jaypitch.CodeServerLimit: jaypitch.CodeOverloaded}
+
+// formatRequestNotice returns the value of headerNotice for a request, or an empty string if the sender knows nothing of the server.
+func formatRequestNotice(f *jaypitch.MeshRequest, now time.Time) string {
+	if f.LimitHeardAt.IsZero() {
+		return ""
+	}
+	return strings.Join([]string{pair(noticeLimit, formatRate(f.RateLimit)), pair(noticeAge, formatInt(now.Sub(f.LimitHeardAt).Microseconds()))}, separator)
+}
+
+// parseRequestNotice sets the fields of a request from the value of headerNotice.
+func parseRequestNotice(text string, f *jaypitch.MeshRequest, now time.Time) {
+	p := parsePairs(text)
+	limit, ok := parseRate(p[noticeLimit])
+	age, err := strconv.ParseInt(p[noticeAge], 10, 64)
+	if ok && err == nil && age >= 0 {
+		f.RateLimit, f.LimitHeardAt = limit, now.Add(-microseconds(age))
+	}
+}
+
+// formatResponseNotice returns the value of headerNotice for a response, or an empty string if there is nothing to tell.
+func formatResponseNotice(r *jaypitch.MeshResponse) string {
+	var pairs []string
+	if r.LoadReport.Limited {
+		pairs = append(pairs, pair(noticeLimit, formatRate(r.LoadReport.RateLimit)), pair(noticeWait, formatInt(r.LoadReport.LimitWait.Microseconds())))
+	}
+	if olderCode(r.Code) != r.Code {
+		pairs = append(pairs, pair(noticeCode, formatInt(int64(r.Code))))
+	}
+	return strings.Join(pairs, separator)
+}
+
+// parseResponseNotice sets the fields of a response from the value of headerNotice.
+func parseResponseNotice(text string, r *jaypitch.MeshResponse) {
+	p := parsePairs(text)
+	limit, ok := parseRate(p[noticeLimit])
+	wait, err := strconv.ParseInt(p[noticeWait], 10, 64)
+	if ok && err == nil && wait >= 0 {
+		r.LoadReport.Limited, r.LoadReport.RateLimit, r.LoadReport.LimitWait = true, limit, microseconds(wait)
+	}
+	if code, err := strconv.Atoi(p[noticeCode]); err == nil && olderCodes[jaypitch.Code(code)] == r.Code {
+		r.Code = jaypitch.Code(code)
+	}
+}
+
+// olderCode returns the code that older sidecars know for a code.
+func olderCode(c jaypitch.Code) jaypitch.Code {
+	if older, ok := olderCodes[c]; ok {
+		return older
+	}
+	return c
+}
+
+func pair(name, value string) string {
+	return name + "=" + value
+}
+
+func parsePairs(text string) map[string]string {
+	out := map[string]string{}
+	for part := range strings.SplitSeq(text, separator) {
+		if name, value, ok := strings.Cut(part, "="); ok {
+			out[name] = value
+		}
+	}
+	return out
+}
+
+func formatRate(perSecond float64) string {
+	return strconv.FormatFloat(perSecond, 'g', -1, 64)
+}
+
+// parseRate returns a rate, and whether the text is a finite number of at least zero.
+func parseRate(text string) (float64, bool) {
+	rate, err := strconv.ParseFloat(text, 64)
+	return rate, err == nil && rate >= 0 && !math.IsInf(rate, 0)
+}
--- a/hop/server.go
+++ b/hop/server.go
@@ -88,7 +88,9 @@
 // parseRequest returns the request without its body.
 func (s *Server) parseRequest(r *http.Request) (*jaypitch.MeshRequest, *jaypitch.Error) {
 	f := &jaypitch.MeshRequest{ID: r.Header.Get(s.idHeader), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: EndToEndHeader(r.Header)}
-	return f, parseAttempt(r.Header.Get(headerAttempt), f, s.now())
+	now := s.now()
+	parseRequestNotice(r.Header.Get(headerNotice), f, now)
+	return f, parseAttempt(r.Header.Get(headerAttempt), f, now)
 }
 
 // write sends the response. An error means that the response is truncated.
@@ -102,6 +104,9 @@
 		}
 	}
 	h[headerResponse] = []string{formatResponse(r)}
+	if notice := formatResponseNotice(r); notice != "" {
+		h[headerNotice] = []string{notice}
+	}
 	if s.closing() {
 		h["Connection"] = []string{"close"}
 	}
--- a/inbound/limit_test.go
+++ b/inbound/limit_test.go
@@ -10,6 +10,7 @@
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/http1"
 	"github.com/jaypitch/jaypitch/platform"
+	"github.com/jaypitch/jaypitch/standin"
 )
 
 // limitFixture is a fixture whose receiver decodes notices and reads the time from a clock that the test sets.
@@ -27,6 +28,10 @@
 	limitFactor  = 1.5
 	limitExtra   = 5
 	arrivalEvery = 20 * time.Millisecond
+
+	// shortTimeLimit is enough for a request to start, but not to be queued, since the queue's timers run in real time.
+	shortTimeLimit = 60 * time.Millisecond
+	longTimeLimit  = 10 * time.Second
 )
 
 func newLimitFixture(t *testing.T) *limitFixture {
@@ -47,10 +52,10 @@
 
 func (g *limitFixture) now() time.Time { return g.clock }
 
-// serve serves one request with a deadline of 100 ms and returns the response. It records the request if it reached the server.
-func (g *limitFixture) serve(change func(*jaypitch.MeshRequest)) *jaypitch.MeshResponse {
+// serve serves one request with a time limit and returns the response. It records the request if it reached the server.
+func (g *limitFixture) serve(timeLimit time.Duration, change func(*jaypitch.MeshRequest)) *jaypitch.MeshResponse {
 	f := newRequest("one", "")
-	f.Deadline, f.TargetDeadline = g.clock.Add(100*time.Millisecond), g.clock.Add(100*time.Millisecond)
+	f.Deadline, f.TargetDeadline = g.clock.Add(timeLimit), g.clock.Add(timeLimit)
 	if change != nil {
 		change(f)
 	}
@@ -65,7 +70,7 @@
 // serveFor serves 50 requests a second for a time.
 func (g *limitFixture) serveFor(d time.Duration) {
 	for until := g.clock.Add(d); g.clock.Before(until); g.clock = g.clock.Add(arrivalEvery) {
-		g.serve(nil)
+		g.serve(shortTimeLimit, nil)
 	}
 }
 
@@ -99,12 +104,43 @@
 			is := is.New(t)
 			g := newLimitFixture(t)
 			g.server.NameLimit(limit.text)
+			is.Equal(g.serve(longTimeLimit, nil).Code, jaypitch.CodeOK)
 			g.serveFor(12 * time.Second)
 			g.assertWithinLimit(t, testStart, limit.rate)
 			g.server.NameLimit("")
 			g.serveFor(4 * time.Second)
 			is.True(!g.receiver.Notice().Limited)
-			is.Equal(g.serve(nil).Code, jaypitch.CodeOK)
+			is.Equal(g.serve(longTimeLimit, nil).Code, jaypitch.CodeOK)
 		})
 	}
 }
+
+// TestServerGetsMoreThanItsLimitAfterRestart guards against a receiver that has just started and takes silence for no limit.
+func TestServerGetsMoreThanItsLimitAfterRestart(t *testing.T) {
+	is := is.New(t)
+	g := newLimitFixture(t)
+	g.server.SetBehaviour(standin.Disconnected) // no response tells the limit
+	g.restart()
+	known := func(f *jaypitch.MeshRequest) { f.LimitHeardAt, f.RateLimit = g.clock, 2 }
+	for until := g.clock.Add(12 * time.Second); g.clock.Before(until); g.clock = g.clock.Add(arrivalEvery) {
+		r := g.serve(shortTimeLimit, known)
+		is.True(r.LoadReport.Limited)
+	}
+	g.assertWithinLimit(t, testStart, 2)
+	g.server.SetBehaviour(standin.Normal)
+	is.Equal(g.serve(longTimeLimit, known).Code, jaypitch.CodeOK)
+	is.True(!g.receiver.Notice().Limited)
+}
+
+// TestRefusalEndsNoLimit guards against a limit that a server's refusal without the header ends.
+func TestRefusalEndsNoLimit(t *testing.T) {
+	is := is.New(t)
+	g := newLimitFixture(t)
+	g.server.NameLimit("2")
+	g.serve(longTimeLimit, nil)
+	g.server.NameLimit("")
+	g.server.SetBehaviour(standin.Shedding)
+	g.clock = g.clock.Add(time.Second)
+	is.Equal(g.serve(longTimeLimit, nil).Code, jaypitch.CodeShed)
+	is.True(g.receiver.Notice().Limited)
+}
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -36,8 +36,11 @@
 	// failing is the moving average of the share of failed requests, by rule.
 	failing  map[string]float64
 	stopping bool
-	// notice is the latest notice of the server with serverID.
-	notice jaypitch.ServerNotice
+	// notice is the latest notice of the server with serverID, or what a sender reported of it. It is unknown until noticed is true.
+	notice  jaypitch.ServerNotice
+	noticed bool
+	// wakeTimer starts the queued requests that wait for the rate limit; nil before the first one.
+	wakeTimer *time.Timer
 
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 	recordNotice func(serverID string, n jaypitch.ServerNotice)
@@ -124,6 +127,7 @@
 		return refusal(e)
 	}
 	r.mu.Lock()
+	r.adoptLimit(f)
 	if failing := r.failing[f.Rule]; failing > failingLimit && !f.CompleteBy.IsZero() && r.random() > failingTrialShare {
 		r.mu.Unlock()
 		return refusal(jaypitch.Errorf(jaypitch.CodeFailing, "the backend server failed %.2f of the latest requests of rule %q", failing, f.Rule))
@@ -133,6 +137,7 @@
 	if e != nil {
 		retryAfter = r.slots.RetryAfter(w, r.now())
 	}
+	r.scheduleWake()
 	r.mu.Unlock()
 	if e != nil {
 		response := refusal(e)
@@ -224,7 +229,7 @@
 		r.serverID = id
 		r.slots.Reset()
 		clear(r.failing)
-		r.notice = jaypitch.ServerNotice{}
+		r.notice, r.noticed = jaypitch.ServerNotice{}, false
 	}
 	if v != nil {
 		r.slots.Resize(int(v.GetSlots()))
@@ -330,14 +335,38 @@
 		r.mu.Unlock()
 		return
 	}
+	if e != nil || !n.Limited && response.Code != jaypitch.CodeOK {
+		// A refusal that names no limit doesn't end one, and neither does a limit that can't be decoded.
+		n.Limited, n.RateLimit = r.notice.Limited, r.notice.RateLimit
+	}
 	changed := r.notice != n
-	r.notice = n
+	r.notice, r.noticed = n, true
+	r.applyLimit()
 	r.mu.Unlock()
 	if changed {
 		r.recordNotice(f.ServerID, n)
 	}
 }
 
+// adoptLimit takes over the rate limit that a sender knows, as long as the server has not responded to this process. The caller holds the lock.
+func (r *Receiver) adoptLimit(f *jaypitch.MeshRequest) {
+	if r.noticed || r.notice.Limited || f.LimitHeardAt.IsZero() || r.serverID != f.ServerID {
+		return
+	}
+	r.notice.Limited, r.notice.RateLimit = true, f.RateLimit
+	r.applyLimit()
+}
+
+// applyLimit makes the slots keep to the rate limit of the notice, and starts the queued requests that it allows. The caller holds the lock.
+func (r *Receiver) applyLimit() {
+	if r.notice.Limited {
+		r.slots.SetLimit(r.notice.RateLimit, r.now())
+	} else if r.slots.Limited() {
+		r.slots.ClearLimit()
+	}
+	r.startQueued()
+}
+
 // Notice returns the latest notice of the server.
 func (r *Receiver) Notice() jaypitch.ServerNotice {
 	r.mu.Lock()
@@ -358,12 +387,16 @@
 	r.releaseSlot(w, serviceTime)
 }
 
-// releaseSlot releases a slot, starts the queued requests that fit now and refuses those that expired. A service time of zero doesn't count
-// towards the means.
+// releaseSlot releases a slot and starts the queued requests that fit now. A service time of zero doesn't count towards the means.
 func (r *Receiver) releaseSlot(w *admit.SlotRequest, serviceTime time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.slots.Finish(w, serviceTime)
+	r.startQueued()
+}
+
+// startQueued starts the queued requests that fit now and refuses those that expired. The caller holds the lock.
+func (r *Receiver) startQueued() {
 	start, expired := r.slots.Next(r.now())
 	for _, s := range start {
 		s.Decision <- nil
@@ -371,14 +404,39 @@
 	for _, x := range expired {
 		x.Decision <- jaypitch.Errorf(jaypitch.CodeDeadline, "the queued request could no longer complete before its deadline")
 	}
+	r.scheduleWake()
+}
+
+// scheduleWake sets the timer for the next queued request that waits for the rate limit. The caller holds the lock.
+func (r *Receiver) scheduleWake() {
+	now := r.now()
+	at := r.slots.NextStart(now)
+	switch {
+	case at.IsZero():
+	case r.wakeTimer == nil:
+		r.wakeTimer = time.AfterFunc(at.Sub(now), r.wake)
+	default:
+		r.wakeTimer.Reset(at.Sub(now))
+	}
+}
+
+// wake starts the queued requests that the rate limit allows by now.
+func (r *Receiver) wake() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.startQueued()
 }
 
 func (r *Receiver) loadReport(rule string) jaypitch.MeshLoadReport {
 	age := r.sourceAge()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
+	report := jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
 		Mean: r.slots.ExpectedServiceTime(rule, r.now()), Failing: r.failing[rule], Stopping: r.stopping, Revision: r.replica.Revision(), SourceAge: age}
+	if r.notice.Limited {
+		report.Limited, report.RateLimit, report.LimitWait = true, r.notice.RateLimit, r.slots.LimitWait(r.now())
+	}
+	return report
 }
 
 // Close closes the stream and releases the slot.
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -41,6 +41,10 @@
 	CompleteBy time.Time
 	// Revision is the store's revision that the sender holds.
 	Revision int64
+	// LimitHeardAt is when the sender last heard of the rate limit of the server, and RateLimit the limit in requests per second. LimitHeardAt
+	// is zero if the sender knows of no limit. A receiver that has just started keeps to the limit until a response of the server tells it.
+	LimitHeardAt time.Time
+	RateLimit    float64
 }
 
 // MeshResponse is the result of an attempt to forward a MeshRequest.
@@ -94,6 +98,11 @@
 	Failing float64
 	// Stopping is true if the sidecar accepts no new requests.
 	Stopping bool
+	// Limited is true if the server names a rate limit, RateLimit, in requests per second from all hosts together. LimitWait is the time
+	// until the limit has room for a further request. Both are set only if Limited.
+	Limited   bool
+	RateLimit float64
+	LimitWait time.Duration
 	// Revision is the store's revision that the receiver holds, SourceAge the time since the store confirmed it.
 	Revision  int64
 	SourceAge time.Duration
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -45,7 +45,7 @@
 	excluded []string
 	// sent counts all attempts, arrived those that may have reached a server.
 	sent, arrived int
-	// overloaded counts the attempts that were refused with CodeOverloaded.
+	// overloaded counts the attempts that were refused with CodeOverloaded or CodeServerLimit.
 	overloaded int
 	// best is the response to return unless a further attempt has a better one; see keepBest.
 	best *jaypitch.MeshResponse
@@ -118,6 +118,7 @@
 	out.Revision = d.replica.Revision()
 	out.CompleteBy = d.completeBy(a, pick)
 	out.ExpectContinue = pick.ExpectContinue
+	out.LimitHeardAt, out.RateLimit = pick.LimitHeardAt, pick.RateLimit
 	return &out
 }
 
@@ -132,7 +133,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	pick := d.picker.Pick(d.replica.Table().Services[a.service], route.PickRequest{Rule: a.rule.GetName(), LatencyTarget: a.rule.LatencyTarget(),
-		BodyBytes: len(f.Body), Excluded: a.excluded}, now)
+		BodyBytes: len(f.Body), Deadline: f.Deadline, Excluded: a.excluded}, now)
 	if pick.Server != nil {
 		d.picker.Start(pick.Server, now)
 	}
@@ -236,7 +237,7 @@
 		// After busy or failing the server may be chosen again: the load report of its refusal has updated the picker's estimate.
 		a.excluded = append(a.excluded, server)
 	}
-	if r.Code == jaypitch.CodeOverloaded {
+	if r.Code == jaypitch.CodeOverloaded || r.Code == jaypitch.CodeServerLimit {
 		if a.overloaded++; a.overloaded >= maxOverloaded {
 			return false
 		}
@@ -275,7 +276,11 @@
 // recordNoServer records an overload refusal if the picker chose no server because all are full.
 func (a *attempts) recordNoServer(p route.MeshPick) {
 	if p.RetryAfter > 0 {
-		a.keepBest(jaypitch.NotExecutedResponse(jaypitch.CodeOverloaded, "no server of service %q has room for rule %q", a.service, a.rule.GetName()))
+		code := jaypitch.CodeOverloaded
+		if p.Limited {
+			code = jaypitch.CodeServerLimit
+		}
+		a.keepBest(jaypitch.NotExecutedResponse(code, "no server of service %q has room for rule %q", a.service, a.rule.GetName()))
 		a.retryAfter = max(a.retryAfter, p.RetryAfter)
 	}
 }
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/admit"
 	"github.com/jaypitch/jaypitch/mesh"
 	"github.com/jaypitch/jaypitch/schema"
 )
@@ -38,10 +39,20 @@
 	coldUntil time.Time
 	// networkTimeUS is the estimated network time of an attempt, in microseconds; zero if unknown.
 	networkTimeUS float64
+	// limit is what the last load report tells of the server's rate limit.
+	limit serverLimit
 	// retryAt is when the server expects to have room for a rule's requests again, by the rule's name.
 	retryAt map[string]time.Time
 }
 
+// serverLimit is a rate limit that a server names. heardAt is zero if it names none.
+type serverLimit struct {
+	heardAt   time.Time
+	perSecond float64
+	// roomAt is when the limit has room for a further request, by the last load report and the attempts started since then.
+	roomAt time.Time
+}
+
 // ruleReport is the part of a load report about one rule's requests at a server.
 type ruleReport struct {
 	mean    time.Duration
@@ -64,6 +75,8 @@
 	LatencyTarget time.Duration
 	// BodyBytes is the size of the request's body.
 	BodyBytes int
+	// Deadline is when the request times out. A server whose rate limit has no room before is skipped.
+	Deadline time.Time
 	// Excluded are the IDs of servers that must not be chosen, since an earlier attempt failed there.
 	Excluded []string
 }
@@ -80,8 +93,13 @@
 	// another data centre and all its slots are in use, so that a refusal is likely and would waste the transfer.
 	ExpectContinue bool
 	// RetryAfter is the shortest time after which a skipped server expects room, if Server is nil; zero if no server was skipped
-	// for its retry-after.
+	// for its retry-after or its rate limit.
 	RetryAfter time.Duration
+	// Limited is true if a server was skipped for its rate limit.
+	Limited bool
+	// LimitHeardAt and RateLimit are what is known of the chosen server's rate limit; LimitHeardAt is zero if it names none.
+	LimitHeardAt time.Time
+	RateLimit    float64
 }
 
 const (
@@ -107,6 +125,8 @@
 	// the rule's requests. Finish multiplies the bounded time by a random factor from 0.5 to 1.5.
 	minRetryAfter = 10 * time.Millisecond
 	maxRetryAfter = 100 * time.Millisecond
+	// maxLimitRetryAfter takes the place of maxRetryAfter if the server's rate limit refused the request.
+	maxLimitRetryAfter = time.Second
 	// coldFactor is the assumed ratio of the service times of a server that has just started and of a warm one.
 	coldFactor = 2.0
 	// busyFactor is the share of the mean service time by which a server's cost grows from no slot in use to all slots in use.
@@ -147,10 +167,13 @@
 		if contains(q.Excluded, v.GetId()) {
 			continue
 		}
-		if wait := c.server(v, now).retryAt[q.Rule].Sub(now); wait > 0 {
-			if p.RetryAfter == 0 || wait < p.RetryAfter {
-				p.RetryAfter = wait
-			}
+		e := c.server(v, now)
+		wait, limited := e.retryAt[q.Rule].Sub(now), false
+		if w := e.limit.wait(now); w > 0 && now.Add(w+c.meanTimeAt(e, q.Rule, now)).After(q.Deadline) {
+			wait, limited = max(w, wait), true
+		}
+		if wait > 0 {
+			p.skip(wait, limited)
 			continue
 		}
 		cost := c.cost(v, q, now)
@@ -163,7 +186,9 @@
 	if p.Server == nil {
 		return p
 	}
-	p.RetryAfter = 0
+	p.RetryAfter, p.Limited = 0, false
+	limit := c.server(p.Server, now).limit
+	p.LimitHeardAt, p.RateLimit = limit.heardAt, limit.perSecond
 	p.ExpectContinue = q.BodyBytes >= minExpectContinueBytes && p.Server.GetDataCentre() != c.dataCentre && c.server(p.Server, now).requests(now) >= float64(p.Server.GetSlots())
 	if !math.IsInf(next, 1) {
 		p.AlternativeTime = c.alternativeTime(p.Server, q, next-best, now)
@@ -171,13 +196,46 @@
 	return p
 }
 
+// skip records a server that has no room for a time.
+func (p *MeshPick) skip(wait time.Duration, limited bool) {
+	if p.RetryAfter == 0 || wait < p.RetryAfter {
+		p.RetryAfter = wait
+	}
+	p.Limited = p.Limited || limited
+}
+
+// wait returns the time until the limit has room for a further request; zero if it has now, or if the server names no limit.
+func (l *serverLimit) wait(now time.Time) time.Duration {
+	return max(0, l.roomAt.Sub(now))
+}
+
+// start records the start of an attempt.
+func (l *serverLimit) start(now time.Time) {
+	if l.heardAt.IsZero() {
+		return
+	}
+	if l.roomAt.Before(now) {
+		l.roomAt = now
+	}
+	l.roomAt = l.roomAt.Add(admit.PaceInterval(l.perSecond))
+}
+
+// newServerLimit returns the limit in a load report that was received at a time.
+func newServerLimit(r jaypitch.MeshLoadReport, now time.Time) serverLimit {
+	if !r.Limited {
+		return serverLimit{}
+	}
+	return serverLimit{heardAt: now, perSecond: r.RateLimit, roomAt: now.Add(r.LimitWait)}
+}
+
 // alternativeTime returns MeshPick.AlternativeTime for a chosen server. ExtraCost is the difference between the costs of the next
 // best server and of the chosen one, in microseconds.
 func (c *MeshPicker) alternativeTime(v *schema.MeshServer, q PickRequest, extraCost float64, now time.Time) time.Duration {
 	if c.rule(q.Rule).meanServiceUS == 0 || c.SharedFailure(q.Rule) {
 		return 0
 	}
-	return time.Duration(c.meanAt(c.server(v, now), q.Rule, now)*meanMargin+extraCost)*time.Microsecond + c.bodyCost(v, q)
+	e := c.server(v, now)
+	return time.Duration(c.meanAt(e, q.Rule, now)*meanMargin+extraCost)*time.Microsecond + e.limit.wait(now) + c.bodyCost(v, q)
 }
 
 // sample returns the servers to compare: all of them, or maxCandidates consecutive ones of a large service from a random index on.
@@ -210,7 +268,7 @@
 	}
 	mean := c.meanAt(e, q.Rule, now)
 	utilisation := (e.requests(now) + 1) / float64(max(1, v.GetSlots()))
-	cost := mean*(1+busyFactor*utilisation+max(0, utilisation-1)) + e.networkTimeUS
+	cost := mean*(1+busyFactor*utilisation+max(0, utilisation-1)) + e.networkTimeUS + float64(e.limit.wait(now).Microseconds())
 	if t := e.ruleReports[q.Rule]; now.Before(t.until) && t.failing > failingThreshold {
 		cost *= 1 + 10*t.failing
 	}
@@ -225,6 +283,11 @@
 	return (bytes + headBytes) / kilobyte * kilobyteCost * float64(q.LatencyTarget.Microseconds())
 }
 
+// meanTimeAt is meanAt as a duration.
+func (c *MeshPicker) meanTimeAt(e *serverState, rule string, now time.Time) time.Duration {
+	return time.Duration(c.meanAt(e, rule, now)) * time.Microsecond
+}
+
 // meanAt is the expected service time of a rule's requests at a server, in microseconds.
 func (c *MeshPicker) meanAt(e *serverState, rule string, now time.Time) float64 {
 	if t, ok := e.ruleReports[rule]; ok && now.Before(t.until) {
@@ -279,6 +342,7 @@
 // Start records the start of an attempt at a server.
 func (c *MeshPicker) Start(v *schema.MeshServer, now time.Time) {
 	e := c.server(v, now)
+	e.limit.start(now)
 	e.inFlight++
 	if e.inFlight == 1 {
 		e.noReplySince = now
@@ -301,6 +365,7 @@
 		return
 	}
 	e.unreachable, e.avoidUntil, e.noReplySince = false, time.Time{}, now
+	e.limit = newServerLimit(r.LoadReport, now)
 	e.loadReport, e.inFlightAtReport, e.loadUntil = r.LoadReport, e.inFlight, now.Add(meshLoadMaxAge)
 	if r.LoadReport.Mean > 0 {
 		e.ruleReports[rule] = ruleReport{mean: r.LoadReport.Mean, failing: r.LoadReport.Failing, until: now.Add(meanMaxAge)}
@@ -309,8 +374,8 @@
 		e.avoidUntil = now.Add(avoidDuration)
 	}
 	e.updateNetworkTime(r.NetworkTime)
-	if r.Code == jaypitch.CodeOverloaded {
-		span := min(max(r.RetryAfter, minRetryAfter), maxRetryAfter)
+	if longest := longestRetryAfter(r.Code); longest > 0 {
+		span := min(max(r.RetryAfter, minRetryAfter), longest)
 		e.retryAt[rule] = now.Add(time.Duration((0.5 + c.random()) * float64(span)))
 	}
 	if r.Execution == jaypitch.Executed {
@@ -326,6 +391,17 @@
 	}
 }
 
+// longestRetryAfter returns the longest time for which a server gets no requests of a rule after a refusal with a code; zero if it gets more.
+func longestRetryAfter(c jaypitch.Code) time.Duration {
+	switch c {
+	case jaypitch.CodeOverloaded:
+		return maxRetryAfter
+	case jaypitch.CodeServerLimit:
+		return maxLimitRetryAfter
+	}
+	return 0
+}
+
 // SharedFailure reports whether so many of a rule's responses are failures that the cause must be something that all servers
 // depend on. A retry doesn't help then and adds load to the dependency.
 func (c *MeshPicker) SharedFailure(rule string) bool {
--- a/route/mesh_picker_test.go
+++ b/route/mesh_picker_test.go
@@ -244,3 +244,44 @@
 		is.Equal(picker.Pick(s, pickRequest, start).AlternativeTime, time.Duration(0))
 	})
 }
+
+func TestMeshPickerRateLimit(t *testing.T) {
+	executed := jaypitch.MeshResponse{Execution: jaypitch.Executed, ServiceTime: 50 * time.Millisecond}
+	mean := 50 * time.Millisecond
+	limited := jaypitch.MeshLoadReport{Mean: mean, Limited: true, RateLimit: 10, LimitWait: 300 * time.Millisecond}
+	request := pickRequest
+	request.Deadline = start.Add(time.Second)
+	t.Run("a server whose limit makes the request wait is picked last", func(t *testing.T) {
+		is := is.New(t)
+		picker, s := newMeshPicker(), meshService(2, 0)
+		finishRequest(picker, s.Servers[0], limited, executed, start)
+		finishRequest(picker, s.Servers[1], jaypitch.MeshLoadReport{InProgress: 9, Mean: mean}, executed, start)
+		is.Equal(picker.Pick(s, request, start).Server.GetId(), "here_1")
+		request := request
+		request.Excluded = []string{"here_1"}
+		p := picker.Pick(s, request, start)
+		is.Equal(p.Server.GetId(), "here_0")
+		is.Equal(p.RateLimit, 10.0)
+		is.Equal(p.LimitHeardAt, start)
+	})
+	t.Run("each attempt takes one place of the limit", func(t *testing.T) {
+		is := is.New(t)
+		picker, s := newMeshPicker(), meshService(1, 0)
+		finishRequest(picker, s.Servers[0], limited, executed, start)
+		for range 7 {
+			is.True(picker.Pick(s, request, start).Server != nil)
+			picker.Start(s.Servers[0], start)
+		}
+		p := picker.Pick(s, request, start)
+		is.True(p.Server == nil)
+		is.True(p.Limited)
+		is.Equal(p.RetryAfter, time.Second)
+	})
+	t.Run("a report without a limit ends it", func(t *testing.T) {
+		is := is.New(t)
+		picker, s := newMeshPicker(), meshService(1, 0)
+		finishRequest(picker, s.Servers[0], limited, executed, start)
+		finishRequest(picker, s.Servers[0], jaypitch.MeshLoadReport{Mean: mean}, executed, start)
+		is.True(picker.Pick(s, request, start).LimitHeardAt.IsZero())
+	})
+}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -140,7 +140,8 @@
 	}
 	c.log.Info(logline.Passed, zap.String("id", f.ID), zap.Int("pass", attempt), zap.String("server", f.ServerID), zap.Int("code", int(r.Code)), zap.String("ran", string(r.Execution)),
 		zap.Bool("arrived", r.Arrived), zap.String("reason", r.Reason), zap.Duration("left", f.Deadline.Sub(c.now())), zap.Int("in_progress", r.LoadReport.InProgress),
-		zap.Int("waiting", r.LoadReport.Queued), zap.Int("slots", r.LoadReport.Slots), zap.Duration("mean", r.LoadReport.Mean), zap.Float64("failing", r.LoadReport.Failing))
+		zap.Int("waiting", r.LoadReport.Queued), zap.Int("slots", r.LoadReport.Slots), zap.Duration("mean", r.LoadReport.Mean), zap.Float64("failing", r.LoadReport.Failing),
+		zap.Bool("limited", r.LoadReport.Limited), zap.Float64("limit", r.LoadReport.RateLimit), zap.Duration("limit_wait", r.LoadReport.LimitWait))
 }
 
 // recordReceived records one request for the backend server on this host.
