A server that states that it is leaving gets no more requests

What callers would have seen: requests sent to a server that is about to end. Server-Leaving was passed on to clients unread, so a sidecar that had passed it on sent further requests as long as the entry in the store said ready.

Cause: only the store's entry took a server out of use. Reproduced with the stand-in: TestLeavingServerGetsRequests and TestLeavingServerGetsRequestsFromOtherHosts fail if RecordLeaving has no effect.

Change: each sidecar that gets such a response, or the receiver's refusal for it, records it in its replica, for the process of the server by the start in its entry (born). The server counts as draining there in the table, so for attempts, hedges, the check after the queue and evidence.

Why it works: what a sidecar has seen holds in the one place that all of its decisions read, until the store shows another process; a late response can't mark the next process.

--- a/hop/notice.go
+++ b/hop/notice.go
@@ -17,6 +17,8 @@
 	noticeAge = "age"
 	// noticeWait is, in a response, the time until the limit has room for a further request, in microseconds.
 	noticeWait = "wait"
+	// noticeLeaving is, in a response, 1 if the server stated that it is leaving.
+	noticeLeaving = "leaving"
 	// noticeCode is, in a response, a result code that older sidecars don't know. They get the code in headerResponse.
 	noticeCode = "code"
 )
@@ -48,6 +50,9 @@
 	if r.LoadReport.Limited {
 		pairs = append(pairs, pair(noticeLimit, formatRate(r.LoadReport.RateLimit)), pair(noticeWait, formatInt(r.LoadReport.LimitWait.Microseconds())))
 	}
+	if r.LoadReport.Leaving {
+		pairs = append(pairs, pair(noticeLeaving, formatBool(true)))
+	}
 	if olderCode(r.Code) != r.Code {
 		pairs = append(pairs, pair(noticeCode, formatInt(int64(r.Code))))
 	}
@@ -62,6 +67,7 @@
 	if ok && err == nil && wait >= 0 {
 		r.LoadReport.Limited, r.LoadReport.RateLimit, r.LoadReport.LimitWait = true, limit, microseconds(wait)
 	}
+	r.LoadReport.Leaving = p[noticeLeaving] == formatBool(true)
 	if code, err := strconv.Atoi(p[noticeCode]); err == nil && olderCodes[jaypitch.Code(code)] == r.Code {
 		r.Code = jaypitch.Code(code)
 	}
--- a/inbound/limit_test.go
+++ b/inbound/limit_test.go
@@ -144,3 +144,15 @@
 	is.Equal(g.serve(longTimeLimit, nil).Code, jaypitch.CodeShed)
 	is.True(g.receiver.Notice().Limited)
 }
+
+// TestLeavingServerGetsRequests guards against a server that gets requests after it stated that it is leaving, though its entry says ready.
+func TestLeavingServerGetsRequests(t *testing.T) {
+	is := is.New(t)
+	g := newLimitFixture(t)
+	g.server.Leave()
+	is.Equal(g.serve(longTimeLimit, nil).Code, jaypitch.CodeOK)
+	r := g.serve(longTimeLimit, nil)
+	is.Equal(r.Code, jaypitch.CodeStopping)
+	is.True(r.LoadReport.Leaving)
+	is.Equal(len(g.arrivals), 1)
+}
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -111,12 +111,13 @@
 	arrived := r.now()
 	w := &admit.SlotRequest{Rank: f.Rank, Rule: f.Rule, Deadline: f.Deadline, TargetDeadline: f.TargetDeadline,
 		CompleteBy: f.CompleteBy, Decision: make(chan *jaypitch.Error, 1)}
+	server := r.replica.Table().Servers[f.ServerID]
 	response := r.admit(ctx, f, w)
 	queueTime := r.now().Sub(arrived)
 	if response == nil {
-		response = r.send(ctx, f, w)
+		response = r.send(ctx, f, w, server)
 	}
-	response.LoadReport, response.QueueTime = r.loadReport(f.Rule), queueTime
+	response.LoadReport, response.QueueTime = r.loadReport(f), queueTime
 	r.record(f, response, queueTime)
 	return response
 }
@@ -207,7 +208,8 @@
 // server is accepted if the sender holds a newer revision.
 func (r *Receiver) checkServer(f *jaypitch.MeshRequest) *jaypitch.Error {
 	revision := r.replica.Revision()
-	v := r.replica.Table().Servers[f.ServerID]
+	t := r.replica.Table()
+	v := t.Servers[f.ServerID]
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -215,6 +217,8 @@
 		return jaypitch.Errorf(jaypitch.CodeStopping, "the sidecar is stopping")
 	case v == nil && f.Revision <= revision:
 		return jaypitch.Errorf(jaypitch.CodeNotThisHost, "server %q is not listed at revision %d", f.ServerID, revision)
+	case t.Leaving(f.ServerID):
+		return jaypitch.Errorf(jaypitch.CodeStopping, "server %q stated that it is leaving", f.ServerID)
 	case v != nil && v.GetDraining():
 		return jaypitch.Errorf(jaypitch.CodeStopping, "server %q is draining", f.ServerID)
 	}
@@ -237,7 +241,8 @@
 }
 
 // send sends the request to the server. The request holds its slot until the response is read completely or its stream is closed.
-func (r *Receiver) send(ctx context.Context, f *jaypitch.MeshRequest, w *admit.SlotRequest) *jaypitch.MeshResponse {
+// Server is the server's entry from before the request was sent; nil if it wasn't listed.
+func (r *Receiver) send(ctx context.Context, f *jaypitch.MeshRequest, w *admit.SlotRequest, server *schema.MeshServer) *jaypitch.MeshResponse {
 	started := r.now()
 	ctx, cancel := context.WithTimeout(ctx, f.Deadline.Sub(started)+deadlineGrace)
 	a, err := r.pool.Do(ctx, r.address, r.request(f, started))
@@ -248,7 +253,7 @@
 		return response
 	}
 	response := r.classify(f, a)
-	r.observeNotice(f, a.Header, response)
+	r.observeNotice(f, a.Header, response, server)
 	if response.Execution == jaypitch.Executed {
 		body, more, err := readBody(a)
 		response.Body = body
@@ -321,7 +326,7 @@
 
 // observeNotice takes over the server's notice in the header of a response. Only a response that the server made as its result for the request
 // counts: other bytes on the connection may be from another server, or malformed.
-func (r *Receiver) observeNotice(f *jaypitch.MeshRequest, h http.Header, response *jaypitch.MeshResponse) {
+func (r *Receiver) observeNotice(f *jaypitch.MeshRequest, h http.Header, response *jaypitch.MeshResponse, server *schema.MeshServer) {
 	if r.decodeNotice == nil || response.Code != jaypitch.CodeOK && response.Code != jaypitch.CodeShed {
 		return
 	}
@@ -329,6 +334,9 @@
 	if e != nil {
 		r.refuseNotice(f.ServerID, e)
 	}
+	if n.Leaving && server != nil {
+		r.replica.RecordLeaving(server, r.now())
+	}
 	r.mu.Lock()
 	if r.serverID != f.ServerID {
 		// The address belongs to another server by now.
@@ -427,12 +435,12 @@
 	r.startQueued()
 }
 
-func (r *Receiver) loadReport(rule string) jaypitch.MeshLoadReport {
-	age := r.sourceAge()
+func (r *Receiver) loadReport(f *jaypitch.MeshRequest) jaypitch.MeshLoadReport {
+	age, leaving := r.sourceAge(), r.replica.Table().Leaving(f.ServerID)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
-		Mean: r.slots.ExpectedServiceTime(rule, r.now()), Failing: r.failing[rule], Stopping: r.stopping, Revision: r.replica.Revision(), SourceAge: age}
+		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Stopping: r.stopping, Leaving: leaving, Revision: r.replica.Revision(), SourceAge: age}
 	if r.notice.Limited {
 		report.Limited, report.RateLimit, report.LimitWait = true, r.notice.RateLimit, r.slots.LimitWait(r.now())
 	}
--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/schema"
 )
@@ -38,6 +40,13 @@
 	tombstoneUntil time.Time
 	// usableUntil is the time until which a server removed during an outage of the store stays in use; zero if it doesn't.
 	usableUntil time.Time
+	// leaving is the process of the server that stated in a response that it is leaving; nil if none did.
+	leaving *process
+}
+
+// process identifies a process of a server by its start, in milliseconds since 1970; nil if that is unknown.
+type process struct {
+	bornMS *int64
 }
 
 // Change describes what an update changed: the configuration, and the servers that were added, changed or removed.
@@ -104,6 +113,29 @@
 	return c
 }
 
+// RecordLeaving records that a server stated in a response that it is leaving, whatever its entry says. That holds for the process of the
+// server which the given entry is about, so a server that starts again under the same ID is in use again. It reports whether this is new.
+func (s *Replica) RecordLeaving(v *schema.MeshServer, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.servers[v.GetId()]
+	if e == nil || e.leaving != nil {
+		return false
+	}
+	p := &process{bornMS: v.BornMs}
+	if !p.maybe(e.server) {
+		return false
+	}
+	e.leaving = p
+	s.rebuild(now)
+	return true
+}
+
+// maybe reports whether an entry may be about this process: the starts are equal, or one of them is unknown.
+func (p *process) maybe(v *schema.MeshServer) bool {
+	return p.bornMS == nil || v.BornMs == nil || *p.bornMS == v.GetBornMs()
+}
+
 // Expire deletes tombstones past their lifetime, and takes removed servers out of use whose usableUntil has passed. It reports
 // whether the table changed.
 func (s *Replica) Expire(now time.Time) bool {
@@ -190,10 +222,25 @@
 	before := e.server
 	e.server = v
 	e.usableUntil = time.Time{}
+	startedAgain := e.endLeaving(before)
 	if v.GetGone() {
 		e.markRemoved(before, u.KeepMissingUntil, now)
 	}
-	return before == nil || !sameServer(before, v)
+	return before == nil || startedAgain || !sameServer(before, v)
+}
+
+// endLeaving forgets that the server is leaving if its new entry is about another process: the starts differ, or they are unknown and the
+// server was removed in between. It reports whether it did.
+func (e *serverEntry) endLeaving(before *schema.MeshServer) bool {
+	if e.leaving == nil || e.server.GetGone() {
+		return false
+	}
+	unknown := e.leaving.bornMS == nil || e.server.BornMs == nil
+	if e.leaving.maybe(e.server) && !(unknown && before.GetGone()) {
+		return false
+	}
+	e.leaving = nil
+	return true
 }
 
 // removeMissing replaces servers that a full update lacks with tombstones, unless they are newer than the update. It returns the tombstones.
@@ -228,15 +275,31 @@
 
 func (s *Replica) rebuild(now time.Time) {
 	var usable []*schema.MeshServer
-	for _, e := range s.servers {
+	leaving := map[string]bool{}
+	for id, e := range s.servers {
 		if !e.server.GetGone() || now.Before(e.usableUntil) {
-			usable = append(usable, e.server)
+			usable = append(usable, e.usable())
+			if e.leaving != nil {
+				leaving[id] = true
+			}
 		}
 	}
-	s.table.Store(newTable(s.config, s.rules, usable))
+	t := newTable(s.config, s.rules, usable)
+	t.leaving = leaving
+	s.table.Store(t)
+}
+
+// usable returns the server for the table: as draining if it stated that it is leaving.
+func (e *serverEntry) usable() *schema.MeshServer {
+	if e.leaving == nil || e.server.GetDraining() {
+		return e.server
+	}
+	v := proto.CloneOf(e.server)
+	v.Draining = true
+	return v
 }
 
 func sameServer(a, b *schema.MeshServer) bool {
-	return a.GetService() == b.GetService() && a.GetAddress() == b.GetAddress() && a.GetDraining() == b.GetDraining() &&
+	return (a.BornMs == nil) == (b.BornMs == nil) && a.GetBornMs() == b.GetBornMs() && a.GetService() == b.GetService() && a.GetAddress() == b.GetAddress() && a.GetDraining() == b.GetDraining() &&
 		a.GetGone() == b.GetGone() && a.GetSlots() == b.GetSlots() && a.GetDataCentre() == b.GetDataCentre()
 }
--- a/mesh/replica_test.go
+++ b/mesh/replica_test.go
@@ -185,3 +185,60 @@
 	}
 	is.Equal(counts, map[string]int{"x": 900, "y": 100})
 }
+
+// TestServerThatStatesItIsLeavingStaysInUse guards against a server that gets requests because its entry in the store doesn't say that it leaves.
+func TestServerThatStatesItIsLeavingStaysInUse(t *testing.T) {
+	born := func(ms int64, revision int64) *schema.MeshServer {
+		v := server("a", "1.1.1.1:1", revision)
+		v.BornMs = &ms
+		return v
+	}
+	left := func(first *schema.MeshServer) *Replica {
+		s := NewReplica()
+		s.Merge(jaypitch.MeshUpdate{Revision: 1, Servers: []*schema.MeshServer{first}}, now)
+		if !s.RecordLeaving(first, now) {
+			t.Fatal("the statement had no effect")
+		}
+		return s
+	}
+	for name, c := range map[string]struct {
+		first, second *schema.MeshServer
+		removed       bool
+		inUse         bool
+	}{
+		"an entry that says ready":                             {born(5, 1), born(5, 3), false, false},
+		"removed and listed again, the same process":           {born(5, 1), born(5, 3), true, false},
+		"started again under the same ID":                      {born(5, 1), born(6, 3), false, true},
+		"an entry of an older sidecar, without a start":        {born(5, 1), server("a", "1.1.1.1:1", 3), false, false},
+		"no start known":                                       {server("a", "1.1.1.1:1", 1), server("a", "1.1.1.1:1", 3), false, false},
+		"no start known, removed and listed again":             {server("a", "1.1.1.1:1", 1), server("a", "1.1.1.1:1", 3), true, true},
+		"start not known at first, then an entry with a start": {server("a", "1.1.1.1:1", 1), born(5, 3), false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := left(c.first)
+			assertInUse(t, s)
+			if c.removed {
+				s.Merge(jaypitch.MeshUpdate{Servers: []*schema.MeshServer{tombstone("a", 2)}}, now)
+			}
+			s.Merge(jaypitch.MeshUpdate{Servers: []*schema.MeshServer{c.second}}, now)
+			is.New(t).Equal(s.Table().Leaving("a"), !c.inUse)
+			if c.inUse {
+				assertInUse(t, s, "a")
+			} else {
+				assertInUse(t, s)
+			}
+		})
+	}
+	t.Run("a late response of the process before has no effect", func(t *testing.T) {
+		is := is.New(t)
+		s := NewReplica()
+		s.Merge(jaypitch.MeshUpdate{Servers: []*schema.MeshServer{born(6, 3)}}, now)
+		is.True(!s.RecordLeaving(born(5, 1), now))
+		assertInUse(t, s, "a")
+	})
+	t.Run("other sidecars get the entry as the store has it", func(t *testing.T) {
+		is := is.New(t)
+		s := left(born(5, 1))
+		is.True(!s.ChangesSince(0, 0).GetServers()[0].GetDraining())
+	})
+}
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -20,6 +20,8 @@
 	// Servers holds all servers in use by ID, including draining ones.
 	Servers map[string]*schema.MeshServer
 
+	// leaving holds the IDs of the servers that stated that they are leaving.
+	leaving   map[string]bool
 	rules     ruleIndex
 	byAddress map[string]*schema.MeshServer
 	hostCount int
@@ -113,6 +115,11 @@
 	return false
 }
 
+// Leaving reports whether a server in use stated that it is leaving.
+func (t *Table) Leaving(id string) bool {
+	return t.leaving[id]
+}
+
 // HostCount returns the number of hosts of the servers in use, counted by IP address.
 func (t *Table) HostCount() int {
 	return t.hostCount
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -98,6 +98,8 @@
 	Failing float64
 	// Stopping is true if the sidecar accepts no new requests.
 	Stopping bool
+	// Leaving is true if the server stated in a response that it is leaving.
+	Leaving bool
 	// Limited is true if the server names a rate limit, RateLimit, in requests per second from all hosts together. LimitWait is the time
 	// until the limit has room for a further request. Both are set only if Limited.
 	Limited   bool
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -29,6 +29,8 @@
 	local        Receiver
 	now          func() time.Time
 	record       func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int)
+	// decodeNotice returns what a server states about itself; nil if the platform's servers state nothing.
+	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 
 	mu     sync.Mutex
 	picker *route.MeshPicker
@@ -37,6 +39,9 @@
 	hedgeable map[string]map[*hedgeable]bool
 }
 
+// Option configures a Dispatcher.
+type Option func(*Dispatcher)
+
 // attempts is the state of the attempts of one request.
 type attempts struct {
 	rule    *mesh.Rule
@@ -77,9 +82,18 @@
 // of the sidecar beside a server. Record is called after each attempt with its number within the request, from 1.
 func NewDispatcher(localAddress string, peerAddress func(server string) string, replica *mesh.Replica, forwarder jaypitch.Forwarder, local Receiver,
 	picker *route.MeshPicker, budget *route.MeshRetryBudget, now func() time.Time,
-	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int)) *Dispatcher {
-	return &Dispatcher{localAddress: localAddress, peerAddress: peerAddress, replica: replica, forwarder: forwarder, local: local,
+	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int), options ...Option) *Dispatcher {
+	d := &Dispatcher{localAddress: localAddress, peerAddress: peerAddress, replica: replica, forwarder: forwarder, local: local,
 		picker: picker, budget: budget, now: now, record: record, hedgeable: map[string]map[*hedgeable]bool{}}
+	for _, o := range options {
+		o(d)
+	}
+	return d
+}
+
+// WithNotices makes the dispatcher decode what servers state about themselves in their responses, since receivers of older builds don't.
+func WithNotices(decode func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)) Option {
+	return func(d *Dispatcher) { d.decodeNotice = decode }
 }
 
 // Prune drops the state of servers that are not in the table.
@@ -193,7 +207,21 @@
 	if v.GetAddress() == d.localAddress {
 		return d.local.Serve(ctx, f)
 	}
-	return d.forwarder.Forward(ctx, d.peerAddress(v.GetAddress()), f)
+	r := d.forwarder.Forward(ctx, d.peerAddress(v.GetAddress()), f)
+	if r.LoadReport.Leaving || d.statesLeaving(r) {
+		d.replica.RecordLeaving(v, d.now())
+	}
+	return r
+}
+
+// statesLeaving reports whether the server stated in its response that it is leaving.
+func (d *Dispatcher) statesLeaving(r *jaypitch.MeshResponse) bool {
+	if d.decodeNotice == nil || r.Execution != jaypitch.Executed {
+		return false
+	}
+	// A limit that can't be decoded is reported by the receiver; it doesn't concern this.
+	n, _ := d.decodeNotice(r.Header)
+	return n.Leaving
 }
 
 // Unresponsive returns the servers whose sidecar is to be probed.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -124,7 +124,8 @@
 	picker := route.NewMeshPicker(s.GetSidecar().GetDataCentre(), rand.Float64)
 	retryBudget := route.NewMeshRetryBudget(ratio, s.GetBounds().GetRetrySlack(), micros(s.GetBounds().GetRetryWindowUs()))
 	c.hopClient = hop.NewClient(c.peerPool, c.now)
-	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt)
+	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
+		outbound.WithNotices(p.DecodeNotice))
 	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, s.GetSidecar().GetMemoryMb()*megabyte/bodyMemoryDivisor, c.tracker, c.now, c.recordRequest)
 	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, revision: c.replica.Revision, confirmation: c.confirmation, isReader: c.isReader, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -397,3 +398,38 @@
 		return other.replica.Table().Version == 2
 	})
 }
+
+// TestLeavingServerGetsRequestsFromOtherHosts guards against senders that use a server which stated that it is leaving: its entry says ready,
+// and the sidecar beside it has been restarted since.
+func TestLeavingServerGetsRequestsFromOtherHosts(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 13, 3)
+	h := m.hosts[0]
+	m.registerServer(1, "draining")
+	m.registerServer(2, "draining")
+	m.eventually("only the server of the first host is in use", func() bool {
+		return !slices.ContainsFunc(m.hosts, func(h *testHost) bool {
+			v := h.sidecar.replica.Table().Services["x"]
+			return v == nil || len(v.Servers) != 1 || v.Servers[0].GetId() != "i-0"
+		})
+	})
+	h.server.Leave()
+	for i := 1; i < 3; i++ {
+		m.get(i, portCallers, "/one/a", fmt.Sprintf("id-%d", i))
+		is.True(m.hosts[i].sidecar.replica.Table().Leaving("i-0"))
+	}
+	h.stop()
+	is.NoErr(<-h.done)
+	m.run(h)
+	m.eventually("the sidecar is ready again", func() bool {
+		status, _ := m.get(0, portReady, platform.ReadyPath, "")
+		return status == http.StatusOK
+	})
+	_, before := h.server.Executions("")
+	for i := range 30 {
+		status, _ := m.get(1+i%2, portCallers, "/one/a", fmt.Sprintf("late-%d", i))
+		is.Equal(status, http.StatusServiceUnavailable)
+	}
+	_, after := h.server.Executions("")
+	is.Equal(after, before)
+}
