--- a/logline/kind.go
+++ b/logline/kind.go
@@ -36,6 +36,7 @@
 	{"difference refused", []string{"peer", "code", "reason"}, "a difference from another sidecar does not apply to the configuration version on this sidecar"},
 	{"store lost", []string{"error"}, "the store stopped responding"},
 	{"store regained", []string{"after", "failures"}, "the store responds again"},
+	{"store restored", []string{"era", "era_before", "revision", "revision_before", "from"}, "the store came back from a copy, and its revisions went back"},
 	{"reading everything again", []string{"revision", "error"}, "the store has compacted the history, or the process was paused; the whole configuration is read again"},
 	{"entry refused", []string{"code", "reason"}, "an entry of the store cannot be decoded or served: the last valid configuration stays in use, or the server of the entry counts as removed"},
 	{"paused", []string{"for"}, "the process was paused; its configuration is unconfirmed"},
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -39,8 +39,9 @@
 	// sidecar refuses a request that it would complete later, or that is likely to fail, so that the sender retries it at the
 	// next best server.
 	CompleteBy time.Time
-	// Revision is the store's revision that the sender holds.
+	// Revision is the store's revision that the sender holds, Era its era.
 	Revision int64
+	Era      Era
 	// LimitHeardAt is when the sender last heard of the rate limit of the server, and RateLimit the limit in requests per second. LimitHeardAt
 	// is zero if the sender knows of no limit. A receiver that has just started keeps to the limit until a response of the server tells it.
 	LimitHeardAt time.Time
@@ -105,8 +106,9 @@
 	Limited   bool
 	RateLimit float64
 	LimitWait time.Duration
-	// Revision is the store's revision that the receiver holds, SourceAge the time since the store confirmed it.
+	// Revision is the store's revision that the receiver holds, Era its era, and SourceAge the time since the store confirmed it.
 	Revision  int64
+	Era       Era
 	SourceAge time.Duration
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -26,6 +26,7 @@
 	undecodableEntries prometheus.Counter
 	serverConnections  prometheus.Counter
 	serverRequests     *prometheus.CounterVec
+	restores           prometheus.Counter
 }
 
 const namespace = "jaypitch_sidecar"
@@ -42,9 +43,10 @@
 		serviceTime:        prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "server_seconds", Help: "Time at the backend server (service time), by rank.", Buckets: histogramBuckets}, []string{"rank"}),
 		undecodableEntries: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "entries_refused_total", Help: "Entries of the store that can't be decoded."}),
 		serverConnections:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "server_connections_total", Help: "New connections to the backend server."}),
+		restores:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_restores_total", Help: "Times that the store came back from a copy, as the rise of its era shows."}),
 		serverRequests:     prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_requests_total", Help: "Requests sent to the backend server, by whether it named a rate limit then."}, []string{"limited"}),
 	}
-	m.registry.MustRegister(m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
+	m.registry.MustRegister(m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
 	gauge := func(name, help string, f func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
 	}
@@ -53,6 +55,12 @@
 	gauge("source_age_seconds", "Time since the revision was confirmed by the store, directly or through other sidecars.", func() float64 { return c.confirmation.age().Seconds() })
 	gauge("store_calls", "Requests to the store.", func() float64 { return float64(c.watcher.requestCount()) })
 	gauge("store_reads", "Reads of the full content of the store.", func() float64 { return float64(c.watcher.fullReadCount()) })
+	gauge("store_era", "Era of the store that the revision belongs to; -1 if unknown.", func() float64 {
+		if era := c.era.Load(); era != nil {
+			return float64(era.Number)
+		}
+		return -1
+	})
 	gauge("slots_running", "Requests at the backend server.", func() float64 { n, _, _ := c.receiver.Counts(); return float64(n) })
 	gauge("slots_waiting", "Requests queued for a slot.", func() float64 { _, n, _ := c.receiver.Counts(); return float64(n) })
 	gauge("server_limit", "Requests per second that the backend server takes from all hosts together; +Inf if it names no limit.", func() float64 { return rateLimit(c.receiver.Notice()) })
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -73,6 +73,8 @@
 	stopping atomic.Bool
 	// endsAt is when a stopping sidecar ends at the latest; nil before it stops.
 	endsAt atomic.Pointer[time.Time]
+	// era is the latest era of the store that an update had; nil before the first one.
+	era atomic.Pointer[jaypitch.Era]
 	// unconfirmedSince is when the process resumed from a pause; nil once the replica is confirmed.
 	unconfirmedSince atomic.Pointer[time.Time]
 
@@ -188,6 +190,7 @@
 
 // merge merges an update into the replica, logs what changed and returns it.
 func (c *Sidecar) merge(u jaypitch.MeshUpdate, from string) mesh.Change {
+	c.recordEra(u, from)
 	change := c.replica.Merge(u, c.now())
 	if change.Config {
 		now := c.now()
@@ -211,6 +214,20 @@
 	return change
 }
 
+// recordEra logs and counts a change of the store's era.
+func (c *Sidecar) recordEra(u jaypitch.MeshUpdate, from string) {
+	if !u.Era.Known {
+		return
+	}
+	before := c.era.Swap(&u.Era)
+	if before == nil || !before.Differs(u.Era) {
+		return
+	}
+	c.metrics.restores.Inc()
+	c.log.Warn("store restored", zap.Int64("era", u.Era.Number), zap.Int64("era_before", before.Number), zap.Int64("revision", u.Revision),
+		zap.Int64("revision_before", c.replica.Revision()), zap.String("from", from))
+}
+
 // isReader reports whether this sidecar watches the store.
 func (c *Sidecar) isReader() bool {
 	return isReader(c.replica.Table(), c.settings.Load().GetSidecar().GetBackend())
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -433,3 +433,24 @@
 	_, after := h.server.Executions("")
 	is.Equal(after, before)
 }
+
+// TestChangeAfterRestoreIsLate guards against sidecars that take a revision of before a restore for a newer one: they keep what they hold.
+func TestChangeAfterRestoreIsLate(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 14, 5)
+	lost := m.store.Copy()
+	m.configure(2, "x", "/two/")
+	latest := m.store.PutServer("i-9", "127.9.14.200:1", "y", "ready", 4)
+	m.eventually("all sidecars hold everything", func() bool {
+		return !slices.ContainsFunc(m.hosts, func(h *testHost) bool { return h.sidecar.replica.Revision() < latest })
+	})
+	m.store.Restore(lost)
+	m.configure(2, "x", "/two/")
+	m.configure(3, "x", "/three/")
+	m.eventually("version 3 is in force everywhere", func() bool {
+		return !slices.ContainsFunc(m.hosts, func(h *testHost) bool { return h.sidecar.replica.Table().Version != 3 })
+	})
+	requests := m.store.Requests()
+	time.Sleep(2 * staleAge)
+	is.True(m.store.Requests()-requests < 100) // the readers watch again, instead of reading everything all the time
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -25,6 +26,7 @@
 	fault    StoreFault
 	limiter  *rate.Limiter
 	requests int64
+	era      int64
 	pageSize int // items per page
 	mux      *http.ServeMux
 }
@@ -64,7 +66,7 @@
 
 // NewStore returns a store that serves readsPerSecond requests per second and lists pageSize items at a time.
 func NewStore(readsPerSecond, pageSize int) *Store {
-	s := &Store{revision: 1, items: map[string]storeItem{}, changed: make(chan struct{}), pageSize: pageSize,
+	s := &Store{revision: 1, era: 1, items: map[string]storeItem{}, changed: make(chan struct{}), pageSize: pageSize,
 		limiter: rate.NewLimiter(rate.Limit(readsPerSecond), readsPerSecond), mux: http.NewServeMux()}
 	s.mux.HandleFunc("GET /jaypitch/kv-key", s.key)
 	s.mux.HandleFunc("GET /jaypitch/kv-range", s.list)
@@ -122,6 +124,29 @@
 	s.wake()
 }
 
+// StoreCopy is a copy of a store's content.
+type StoreCopy struct {
+	revision int64
+	items    map[string]storeItem
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{revision: s.revision, items: maps.Clone(s.items)}
+}
+
+// Restore replaces the content by a copy, and begins a new era. Later revisions are given out again, and watches after a later
+// revision than the copy's end with status 410.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.oldest, s.items, s.events = c.revision, c.revision, maps.Clone(c.items), nil
+	s.wake()
+}
+
 // SetFault replaces the injected fault; the zero StoreFault ends it.
 func (s *Store) SetFault(f StoreFault) {
 	s.mu.Lock()
@@ -139,7 +164,8 @@
 
 // ServeHTTP serves one request, or applies the fault or the rate limit to it.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f, allowed := s.countRequest()
+	f, allowed, era := s.countRequest()
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 	if f.AppliesTo != nil && !f.AppliesTo(r.RemoteAddr) {
 		f = StoreFault{}
 	}
@@ -158,11 +184,11 @@
 	}
 }
 
-func (s *Store) countRequest() (StoreFault, bool) {
+func (s *Store) countRequest() (StoreFault, bool, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests++
-	return s.fault, s.limiter.Allow()
+	return s.fault, s.limiter.Allow(), s.era
 }
 
 func (s *Store) write(i storeItem) int64 {
@@ -229,7 +255,8 @@
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 	defer cancel()
 	for {
-		res, compacted, changed := s.eventsAfter(after, r.FormValue("prefix"))
+		res, era, compacted, changed := s.eventsAfter(after, r.FormValue("prefix"))
+		w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 		if compacted {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -245,19 +272,19 @@
 	}
 }
 
-func (s *Store) eventsAfter(after int64, prefix string) (storeResponse, bool, <-chan struct{}) {
+func (s *Store) eventsAfter(after int64, prefix string) (res storeResponse, era int64, compacted bool, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fault.StallWatches {
-		return storeResponse{Revision: after}, false, s.changed
+		return storeResponse{Revision: after}, s.era, false, s.changed
 	}
-	res := storeResponse{Revision: s.revision}
+	res = storeResponse{Revision: s.revision}
 	for _, e := range s.events {
 		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
 			res.Events = append(res.Events, e)
 		}
 	}
-	return res, after < s.oldest, s.changed
+	return res, s.era, after < s.oldest || after > s.revision, s.changed
 }
 
 func writeStoreResponse(w http.ResponseWriter, v any) {
--- a/update.go
+++ b/update.go
@@ -11,6 +11,8 @@
 type MeshUpdate struct {
 	// Revision is the store's revision up to which the update is complete; zero if changes may be missing from the update.
 	Revision int64
+	// Era is the era of the store that the revisions in the update belong to.
+	Era Era
 	// Full is true if the update holds the whole mesh, so that any server missing from it was removed.
 	Full    bool
 	Config  *schema.MeshConfig
@@ -22,6 +24,13 @@
 var (
 	// ErrCompacted is returned by a watch whose history the store has compacted.
 	ErrCompacted = errors.New("the store has compacted the requested history")
+	// ErrRestored is returned by a read or a watch during which the store came back from a copy.
+	ErrRestored = errors.New("the store was restored from a copy")
 	// ErrSuperseded is the cancellation cause of an attempt if another attempt of the same request completed first.
 	ErrSuperseded = errors.New("another attempt of the request completed first")
 )
+
+// Position returns the position up to which the update is complete.
+func (u MeshUpdate) Position() Position {
+	return Position{Era: u.Era, Revision: u.Revision}
+}
