Order the store's revisions by era, so that a restore doesn't hide changes

What callers saw: requests handled by version 12 or 13 more than two seconds after version 15 had been acknowledged, once the store had come back from a copy.

Cause: revisions of before and after the restore were compared as one counter. Readers kept their higher revision, so each watch got 410 and everything was read again without a pause; their peers, with the same number, took themselves for up to date.

Change: positions of an era and a revision are compared in updates, polls, requests, load reports, the check of unlisted servers and confirmations. A later era begins with a full state; entries of the copy don't undo what their servers reported later. Versions rise through all eras. Repeated full reads are spaced. Sidecars of older builds, which tell no era, are ignored after a restore.

Why it works: within an era the store's counter orders everything, the era orders the lives of the store, and what servers and the operator number themselves outlives both.

--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -56,7 +56,7 @@
 // newClient returns a client and the address of a server with the receiver.
 func newClient(t *testing.T, a *fakeReceiver) (*Client, string) {
 	t.Helper()
-	s := httptest.NewServer(NewServer(a, "Id", fixedNow, func() bool { return false }, func(string, int64) {}, http.NotFoundHandler()))
+	s := httptest.NewServer(NewServer(a, "Id", fixedNow, func() bool { return false }, func(string, jaypitch.Position) {}, http.NotFoundHandler()))
 	t.Cleanup(s.Close)
 	return NewClient(http1.NewPool(time.Now), fixedNow), strings.TrimPrefix(s.URL, "http://")
 }
@@ -65,7 +65,7 @@
 	return &jaypitch.MeshRequest{ID: "one", Method: http.MethodPut, Target: "/a//b?c=%20d", Host: "h.example",
 		Header: http.Header{"Id": {"one"}, "Other": {"x", "y"}}, Body: []byte("body"),
 		Rule: "r;1", Rank: 2, Idempotent: true, ServerID: "i-1", CallerService: "s;v",
-		Deadline: fixedNow().Add(time.Second), TargetDeadline: fixedNow().Add(time.Second / 2), CompleteBy: fixedNow().Add(time.Millisecond), Revision: 7,
+		Deadline: fixedNow().Add(time.Second), TargetDeadline: fixedNow().Add(time.Second / 2), CompleteBy: fixedNow().Add(time.Millisecond), Revision: 7, Era: jaypitch.Era{Number: 3, Known: true},
 		LimitHeardAt: fixedNow().Add(-3 * time.Second), RateLimit: 2.5}
 }
 
@@ -74,7 +74,7 @@
 	want := &jaypitch.MeshResponse{Execution: jaypitch.Executed, Code: jaypitch.CodeOK, Arrived: true, Status: http.StatusTeapot,
 		Header: http.Header{"Stamp": {"z"}}, Body: []byte("answer"), ServiceTime: 3 * time.Millisecond, QueueTime: time.Millisecond,
 		LoadReport: jaypitch.MeshLoadReport{InProgress: 1, Queued: 2, Slots: 3, Mean: time.Second, Failing: 0.25,
-			Stopping: true, Leaving: true, Limited: true, RateLimit: 18.8, LimitWait: 40 * time.Millisecond, Revision: 9, SourceAge: time.Second}}
+			Stopping: true, Leaving: true, Limited: true, RateLimit: 18.8, LimitWait: 40 * time.Millisecond, Revision: 9, Era: jaypitch.Era{Number: 2, Known: true}, SourceAge: time.Second}}
 	a := &fakeReceiver{response: want}
 	c, address := newClient(t, a)
 	got := c.Forward(context.Background(), address, request())
@@ -181,7 +181,7 @@
 		t.Run(fmt.Sprintf("refused %v", refuses), func(t *testing.T) {
 			is := is.New(t)
 			a := &bodyReceiver{refuses: refuses}
-			s := httptest.NewServer(NewServer(a, "Id", time.Now, func() bool { return false }, func(string, int64) {}, http.NotFoundHandler()))
+			s := httptest.NewServer(NewServer(a, "Id", time.Now, func() bool { return false }, func(string, jaypitch.Position) {}, http.NotFoundHandler()))
 			defer s.Close()
 			f := request()
 			f.ExpectContinue, f.Body, f.Deadline = true, []byte(strings.Repeat("x", 100_000)), time.Now().Add(time.Minute)
--- a/hop/notice.go
+++ b/hop/notice.go
@@ -11,6 +11,8 @@
 
 // Names of the pairs in headerNotice.
 const (
+	// noticeEra is the era of the store that the revision in headerAttempt or headerResponse belongs to.
+	noticeEra = "era"
 	// noticeLimit is the rate limit that the backend server names, in requests per second.
 	noticeLimit = "limit"
 	// noticeAge is, in a request, the time since the sender heard of the limit, in microseconds.
@@ -26,17 +28,19 @@
 // olderCodes are the codes that older sidecars get instead of a code that they don't know.
 var olderCodes = map[jaypitch.Code]jaypitch.Code{jaypitch.CodeServerLimit: jaypitch.CodeOverloaded}
 
-// formatRequestNotice returns the value of headerNotice for a request, or an empty string if the sender knows nothing of the server.
+// formatRequestNotice returns the value of headerNotice for a request, or an empty string if there is nothing to tell.
 func formatRequestNotice(f *jaypitch.MeshRequest, now time.Time) string {
-	if f.LimitHeardAt.IsZero() {
-		return ""
+	pairs := eraPair(f.Era)
+	if !f.LimitHeardAt.IsZero() {
+		pairs = append(pairs, pair(noticeLimit, formatRate(f.RateLimit)), pair(noticeAge, formatInt(now.Sub(f.LimitHeardAt).Microseconds())))
 	}
-	return strings.Join([]string{pair(noticeLimit, formatRate(f.RateLimit)), pair(noticeAge, formatInt(now.Sub(f.LimitHeardAt).Microseconds()))}, separator)
+	return strings.Join(pairs, separator)
 }
 
 // parseRequestNotice sets the fields of a request from the value of headerNotice.
 func parseRequestNotice(text string, f *jaypitch.MeshRequest, now time.Time) {
 	p := parsePairs(text)
+	f.Era = parseEra(p[noticeEra])
 	limit, ok := parseRate(p[noticeLimit])
 	age, err := strconv.ParseInt(p[noticeAge], 10, 64)
 	if ok && err == nil && age >= 0 {
@@ -46,7 +50,7 @@
 
 // formatResponseNotice returns the value of headerNotice for a response, or an empty string if there is nothing to tell.
 func formatResponseNotice(r *jaypitch.MeshResponse) string {
-	var pairs []string
+	pairs := eraPair(r.LoadReport.Era)
 	if r.LoadReport.Limited {
 		pairs = append(pairs, pair(noticeLimit, formatRate(r.LoadReport.RateLimit)), pair(noticeWait, formatInt(r.LoadReport.LimitWait.Microseconds())))
 	}
@@ -62,6 +66,7 @@
 // parseResponseNotice sets the fields of a response from the value of headerNotice.
 func parseResponseNotice(text string, r *jaypitch.MeshResponse) {
 	p := parsePairs(text)
+	r.LoadReport.Era = parseEra(p[noticeEra])
 	limit, ok := parseRate(p[noticeLimit])
 	wait, err := strconv.ParseInt(p[noticeWait], 10, 64)
 	if ok && err == nil && wait >= 0 {
@@ -81,6 +86,22 @@
 	return c
 }
 
+// eraPair returns the pair of an era, or nothing if it is unknown.
+func eraPair(e jaypitch.Era) []string {
+	if !e.Known {
+		return nil
+	}
+	return []string{pair(noticeEra, formatInt(e.Number))}
+}
+
+func parseEra(text string) jaypitch.Era {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return jaypitch.Era{}
+	}
+	return jaypitch.Era{Number: n, Known: true}
+}
+
 func pair(name, value string) string {
 	return name + "=" + value
 }
--- a/hop/server.go
+++ b/hop/server.go
@@ -21,7 +21,7 @@
 	idHeader     string
 	now          func() time.Time
 	closing      func() bool
-	recordSender func(remote string, revision int64)
+	recordSender func(remote string, p jaypitch.Position)
 	fallback     http.Handler
 }
 
@@ -37,10 +37,10 @@
 const bodyTimeout = 400 * time.Millisecond
 
 // NewServer returns a server. IdHeader is the name of the header with the request ID. While closing returns true, the server closes each
-// connection after its response. RecordSender is called with the sender's remote address and the store's revision that the sender holds.
+// connection after its response. RecordSender is called with the sender's remote address and the position of the sender's replica.
 // Requests that no sidecar forwarded go to fallback.
 func NewServer(r Receiver, idHeader string, now func() time.Time, closing func() bool,
-	recordSender func(remote string, revision int64), fallback http.Handler) *Server {
+	recordSender func(remote string, p jaypitch.Position), fallback http.Handler) *Server {
 	return &Server{receiver: r, idHeader: idHeader, now: now, closing: closing, recordSender: recordSender, fallback: fallback}
 }
 
@@ -60,7 +60,7 @@
 	if e != nil {
 		return jaypitch.NotExecutedResponse(e.Code, "%s", e.Reason)
 	}
-	s.recordSender(r.RemoteAddr, f.Revision)
+	s.recordSender(r.RemoteAddr, f.Position())
 	if r.Header.Get("Expect") != "" {
 		f.ReadBody = (&deferredBody{request: r, control: http.NewResponseController(w), now: s.now}).read
 		return s.receiver.Serve(r.Context(), f)
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -205,9 +205,10 @@
 }
 
 // checkServer refuses a request if the sidecar is stopping, or if the server is draining or not listed in the replica. An unlisted
-// server is accepted if the sender holds a newer revision.
+// server is accepted if the sender holds a newer position.
 func (r *Receiver) checkServer(f *jaypitch.MeshRequest) *jaypitch.Error {
-	revision := r.replica.Revision()
+	position := r.replica.Position()
+	senderIsNewer := r.replica.Comparable(f.Position()) && f.Position().Compare(position) > 0
 	t := r.replica.Table()
 	v := t.Servers[f.ServerID]
 	r.mu.Lock()
@@ -215,8 +216,8 @@
 	switch {
 	case r.stopping:
 		return jaypitch.Errorf(jaypitch.CodeStopping, "the sidecar is stopping")
-	case v == nil && f.Revision <= revision:
-		return jaypitch.Errorf(jaypitch.CodeNotThisHost, "server %q is not listed at revision %d", f.ServerID, revision)
+	case v == nil && !senderIsNewer:
+		return jaypitch.Errorf(jaypitch.CodeNotThisHost, "server %q is not listed at revision %d", f.ServerID, position.Revision)
 	case t.Leaving(f.ServerID):
 		return jaypitch.Errorf(jaypitch.CodeStopping, "server %q stated that it is leaving", f.ServerID)
 	case v != nil && v.GetDraining():
@@ -436,11 +437,13 @@
 }
 
 func (r *Receiver) loadReport(f *jaypitch.MeshRequest) jaypitch.MeshLoadReport {
-	age, leaving := r.sourceAge(), r.replica.Table().Leaving(f.ServerID)
+	// The age is read first: it may belong to an older position, but never to a newer one.
+	age := r.sourceAge()
+	position, leaving := r.replica.Position(), r.replica.Table().Leaving(f.ServerID)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
-		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Stopping: r.stopping, Leaving: leaving, Revision: r.replica.Revision(), SourceAge: age}
+		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
 	if r.notice.Limited {
 		report.Limited, report.RateLimit, report.LimitWait = true, r.notice.RateLimit, r.slots.LimitWait(r.now())
 	}
--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -15,8 +15,9 @@
 
 // Replica is a sidecar's copy of the store's content, merged from updates of the store and of other sidecars. It is safe for concurrent use.
 type Replica struct {
-	mu       sync.Mutex
-	revision int64
+	mu sync.Mutex
+	// position is the point of the store's history up to which the replica is complete.
+	position jaypitch.Position
 	config   *schema.MeshConfig
 	// earlierConfigs holds up to maxEarlierConfigs versions before config, oldest first, as bases of differences.
 	earlierConfigs []*schema.MeshConfig
@@ -29,15 +30,24 @@
 	// the full state.
 	removalsKnownAfter int64
 	table              atomic.Pointer[Table]
-	// publishedRevision is a copy of revision that is read without the lock.
-	publishedRevision atomic.Int64
+	// published is a copy of position that is read without the lock.
+	published atomic.Pointer[jaypitch.Position]
+	// restored is true once an update was of a later era than the replica. Positions of unknown era can't be compared then.
+	restored atomic.Bool
 }
 
 // serverEntry is a backend server, or the tombstone of a removed one.
 type serverEntry struct {
+	// server has a revision of the replica's era, or none if it was taken over from an earlier era.
 	server *schema.MeshServer
+	// reported is the latest entry that the server itself wrote; nil if the server is only known as removed.
+	reported *schema.MeshServer
 	// tombstoneUntil is when the tombstone of a removed server may be deleted.
 	tombstoneUntil time.Time
+	// copied is the entry of the store's copy that is older than what the server reported, and copiedUntil the time from which it applies all the
+	// same, since the store would have removed it by then if the server were gone. Both are zero if there is none.
+	copied      *schema.MeshServer
+	copiedUntil time.Time
 	// usableUntil is the time until which a server removed during an outage of the store stays in use; zero if it doesn't.
 	usableUntil time.Time
 	// leaving is the process of the server that stated in a response that it is leaving; nil if none did.
@@ -53,6 +63,8 @@
 type Change struct {
 	Config  bool
 	Servers []*schema.MeshServer
+	// Restored is true if the update is of a later era of the store than the replica was.
+	Restored bool
 }
 
 const (
@@ -61,12 +73,18 @@
 	// tombstoneLifetime is how long the tombstone of a removed server is kept. It is longer than any disconnection after which a sidecar
 	// still requests changes instead of the full state.
 	tombstoneLifetime = 5 * time.Minute
+	// relistTime is the time within which live servers write their entries again after a restore of the store.
+	relistTime = 2 * time.Second
+	// copyExpiry is the time after a restore within which the store removes the copied entry of a server that is gone: three heartbeats
+	// of a few seconds.
+	copyExpiry = 10 * time.Second
 )
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
 	s := &Replica{servers: map[string]*serverEntry{}}
 	s.table.Store(newTable(nil, nil, nil))
+	s.published.Store(&jaypitch.Position{})
 	return s
 }
 
@@ -75,12 +93,24 @@
 	return s.table.Load()
 }
 
+// Position returns the point of the store's history up to which the replica is complete.
+func (s *Replica) Position() jaypitch.Position {
+	return *s.published.Load()
+}
+
 // Revision returns the store's revision up to which the replica is complete.
 func (s *Replica) Revision() int64 {
-	return s.publishedRevision.Load()
+	return s.Position().Revision
+}
+
+// Comparable reports whether a position that another sidecar reports can be compared with the replica's. After a restore the positions of
+// older builds can't, which don't tell their era.
+func (s *Replica) Comparable(p jaypitch.Position) bool {
+	return p.Era.Known || !s.restored.Load()
 }
 
-// Merge applies the newer entries of an update and replaces the table as a whole if anything changed.
+// Merge applies the newer entries of an update and replaces the table as a whole if anything changed. Of an update of an earlier era, or of a
+// partial one of a later era, it applies only a newer version of the configuration: versions rise through all eras.
 func (s *Replica) Merge(u jaypitch.MeshUpdate, now time.Time) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,6 +123,13 @@
 		s.config, s.rules, s.differences = u.Config, newRuleIndex(u.Config), map[int64]*schema.MeshDifference{}
 		c.Config = true
 	}
+	c.Restored = s.beginEra(u, now)
+	if u.Era.Differs(s.position.Era) {
+		u.Servers, u.Full, u.Revision = nil, false, 0
+	}
+	if c.Restored {
+		u.KeepMissingUntil = now.Add(relistTime)
+	}
 	for _, v := range u.Servers {
 		if s.mergeServer(v, u, now) {
 			c.Servers = append(c.Servers, v)
@@ -103,16 +140,49 @@
 		// A full update contains no tombstones of the servers that were removed before its revision.
 		s.removalsKnownAfter = max(s.removalsKnownAfter, u.Revision)
 	}
-	if u.Revision > s.revision {
-		s.revision = u.Revision
-		s.publishedRevision.Store(u.Revision)
+	if u.Revision > s.position.Revision {
+		s.position.Revision = u.Revision
 	}
+	if u.Era.Known && u.Revision > 0 {
+		s.position.Era = u.Era
+	}
+	published := s.position
+	s.published.Store(&published)
 	if c.Config || len(c.Servers) > 0 {
 		s.rebuild(now)
 	}
 	return c
 }
 
+// beginEra takes the replica to the era of a full update if that is later. Revisions of before mean nothing then, so entries lose them and every
+// revision of the new era is newer. It reports whether it did.
+func (s *Replica) beginEra(u jaypitch.MeshUpdate, now time.Time) bool {
+	if !u.Full || !s.isLaterEra(u) {
+		return false
+	}
+	s.position = jaypitch.Position{Era: u.Era}
+	s.restored.Store(true)
+	s.removalsKnownAfter = 0
+	for _, e := range s.servers {
+		v := proto.CloneOf(e.server)
+		v.Revision = 0
+		e.server = v
+		if v.GetGone() {
+			e.tombstoneUntil = now.Add(tombstoneLifetime)
+		}
+	}
+	return true
+}
+
+// isLaterEra reports whether an update is of a later era than the replica. If the replica has no era, its content is from sidecars that don't tell
+// theirs, and a full update with a lower revision is of a later one.
+func (s *Replica) isLaterEra(u jaypitch.MeshUpdate) bool {
+	if !s.position.Era.Known {
+		return u.Era.Known && u.Revision < s.position.Revision
+	}
+	return u.Era.Differs(s.position.Era) && u.Era.Number > s.position.Era.Number
+}
+
 // RecordLeaving records that a server stated in a response that it is leaving, whatever its entry says. That holds for the process of the
 // server which the given entry is about, so a server that starts again under the same ID is in use again. It reports whether this is new.
 func (s *Replica) RecordLeaving(v *schema.MeshServer, now time.Time) bool {
@@ -136,8 +206,8 @@
 	return p.bornMS == nil || v.BornMs == nil || *p.bornMS == v.GetBornMs()
 }
 
-// Expire deletes tombstones past their lifetime, and takes removed servers out of use whose usableUntil has passed. It reports
-// whether the table changed.
+// Expire deletes tombstones past their lifetime, takes removed servers out of use whose usableUntil has passed, and applies copied entries
+// whose copiedUntil has. It reports whether the table changed.
 func (s *Replica) Expire(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,6 +217,10 @@
 			e.usableUntil = time.Time{}
 			ended = true
 		}
+		if e.copied != nil && !now.Before(e.copiedUntil) {
+			e.server, e.copied = e.copied, nil
+			ended = true
+		}
 		if e.server.GetGone() && now.After(e.tombstoneUntil) {
 			s.removalsKnownAfter = max(s.removalsKnownAfter, e.server.GetRevision())
 			delete(s.servers, id)
@@ -158,17 +232,21 @@
 	return ended
 }
 
-// ChangesSince returns the changes after a revision for a sidecar that has a version of the configuration. The response is the full
-// state if the revision is zero, or if tombstones since then were deleted.
-func (s *Replica) ChangesSince(revision, version int64) *schema.HeldResponse {
+// ChangesSince returns the changes after a position for a sidecar that has a version of the configuration. The response is the full
+// state if the revision is zero or of an earlier era, or if tombstones since then were deleted.
+func (s *Replica) ChangesSince(p jaypitch.Position, version int64) *schema.HeldResponse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := &schema.HeldResponse{Revision: s.revision, Whole: revision < s.removalsKnownAfter || revision == 0}
-	if s.revision == 0 {
+	out := &schema.HeldResponse{Revision: s.position.Revision, Era: s.position.Era.Pointer(), Whole: s.needsFull(p)}
+	if s.position.Revision == 0 {
 		return out
 	}
-	if out.Whole {
+	revision := p.Revision
+	switch {
+	case out.Whole:
 		revision = 0
+	case p.Era.Differs(s.position.Era):
+		revision = s.position.Revision // the other sidecar is of a later era
 	}
 	if s.config.GetVersion() > version {
 		s.addConfig(out, version)
@@ -181,10 +259,18 @@
 	return out
 }
 
+// needsFull reports whether a sidecar at a position needs the full state to follow this replica.
+func (s *Replica) needsFull(p jaypitch.Position) bool {
+	if p.Era.Differs(s.position.Era) {
+		return p.Era.Number < s.position.Era.Number
+	}
+	return p.Revision < s.removalsKnownAfter || p.Revision == 0 || s.restored.Load() && !p.Era.Known
+}
+
 // UpdateFrom converts another sidecar's response into an update. It fails with CodeDigestMismatch if the response holds a difference
 // from a version other than the replica's.
 func (s *Replica) UpdateFrom(m *schema.HeldResponse) (jaypitch.MeshUpdate, *jaypitch.Error) {
-	u := jaypitch.MeshUpdate{Revision: m.GetRevision(), Full: m.GetWhole() && m.GetRevision() > 0, Config: m.GetConfig(), Servers: m.GetServers()}
+	u := jaypitch.MeshUpdate{Revision: m.GetRevision(), Era: jaypitch.NewEra(m.Era), Full: m.GetWhole() && m.GetRevision() > 0, Config: m.GetConfig(), Servers: m.GetServers()}
 	if m.GetDifference() == nil {
 		return u, nil
 	}
@@ -220,7 +306,17 @@
 		s.servers[v.GetId()] = e
 	}
 	before := e.server
+	if e.isOlderCopy(v) {
+		e.server = proto.CloneOf(before)
+		e.server.Revision = v.GetRevision()
+		e.copied, e.copiedUntil = v, now.Add(copyExpiry)
+		return false
+	}
 	e.server = v
+	e.copied = nil
+	if !v.GetGone() {
+		e.reported = v
+	}
 	e.usableUntil = time.Time{}
 	startedAgain := e.endLeaving(before)
 	if v.GetGone() {
@@ -229,6 +325,22 @@
 	return before == nil || startedAgain || !sameServer(before, v)
 }
 
+// isOlderCopy reports whether an entry is from the copy from which the store was restored, and older than what the server reported since: it then
+// doesn't undo that the server drains or was removed.
+func (e *serverEntry) isOlderCopy(v *schema.MeshServer) bool {
+	r := e.reported
+	if r == nil || e.server.GetRevision() != 0 || v.GetGone() {
+		return false
+	}
+	if r.BornMs != nil && v.BornMs != nil && r.GetBornMs() != v.GetBornMs() {
+		return v.GetBornMs() < r.GetBornMs()
+	}
+	if r.Seq != nil && v.Seq != nil {
+		return v.GetSeq() <= r.GetSeq()
+	}
+	return v.GetRevision() <= r.GetRevision()
+}
+
 // endLeaving forgets that the server is leaving if its new entry is about another process: the starts differ, or they are unknown and the
 // server was removed in between. It reports whether it did.
 func (e *serverEntry) endLeaving(before *schema.MeshServer) bool {
--- a/mesh/replica_test.go
+++ b/mesh/replica_test.go
@@ -117,7 +117,7 @@
 	a.Merge(jaypitch.MeshUpdate{Revision: 5, Full: true, Config: config(4, "/a/", "/b/"), Servers: []*schema.MeshServer{server("a", "1.1.1.1:1", 3)}}, now)
 	syncReplicas := func() {
 		t.Helper()
-		u, e := b.UpdateFrom(a.ChangesSince(b.Revision(), b.Table().Version))
+		u, e := b.UpdateFrom(a.ChangesSince(b.Position(), b.Table().Version))
 		is.True(e == nil)
 		b.Merge(u, now)
 		is.Equal(b.Revision(), a.Revision())
@@ -126,7 +126,7 @@
 	syncReplicas()
 	assertInUse(t, b, "a")
 	a.Merge(jaypitch.MeshUpdate{Revision: 8, Config: config(7, "/b/", "/c/"), Servers: []*schema.MeshServer{tombstone("a", 8)}}, now)
-	response := a.ChangesSince(b.Revision(), b.Table().Version)
+	response := a.ChangesSince(b.Position(), b.Table().Version)
 	is.True(response.GetConfig() == nil)
 	is.Equal(len(response.GetDifference().GetChanged()), 1)
 	syncReplicas()
@@ -143,7 +143,7 @@
 	old, fresh := NewReplica(), NewReplica()
 	old.Merge(jaypitch.MeshUpdate{Revision: 20, Config: config(4, "/a/"), Servers: []*schema.MeshServer{server("a", "1.1.1.1:1", 3), server("b", "1.1.1.2:1", 4)}}, now)
 	fresh.Merge(jaypitch.MeshUpdate{Revision: 22, Full: true, Config: config(4, "/a/"), Servers: []*schema.MeshServer{server("b", "1.1.1.2:1", 4)}}, now)
-	u, e := old.UpdateFrom(fresh.ChangesSince(old.Revision(), old.Table().Version))
+	u, e := old.UpdateFrom(fresh.ChangesSince(old.Position(), old.Table().Version))
 	is.True(e == nil)
 	old.Merge(u, now)
 	is.Equal(old.Revision(), int64(22))
@@ -239,6 +239,132 @@
 	t.Run("other sidecars get the entry as the store has it", func(t *testing.T) {
 		is := is.New(t)
 		s := left(born(5, 1))
-		is.True(!s.ChangesSince(0, 0).GetServers()[0].GetDraining())
+		is.True(!s.ChangesSince(jaypitch.Position{}, 0).GetServers()[0].GetDraining())
+	})
+}
+
+// reported returns an entry that a server wrote as its report with a number, in its only process.
+func reported(id string, seq, revision int64, draining bool) *schema.MeshServer {
+	born := int64(1)
+	v := server(id, "1.1.1."+id+":1", revision)
+	v.BornMs, v.Seq, v.Draining = &born, &seq, draining
+	return v
+}
+
+func era(n int64) jaypitch.Era { return jaypitch.Era{Number: n, Known: true} }
+
+// restoredReplica returns a replica that read the store at revision 100 in era 1: server 1 is ready, 2 draining, 3 removed and 4 new since revision 50.
+// Then the store came back in era 2 from its copy of revision 50, and the replica read it again.
+func restoredReplica(t *testing.T) *Replica {
+	t.Helper()
+	s := NewReplica()
+	s.Merge(jaypitch.MeshUpdate{Revision: 50, Era: era(1), Full: true, Config: config(3, "/a/"),
+		Servers: []*schema.MeshServer{reported("1", 1, 10, false), reported("2", 1, 20, false), reported("3", 1, 30, false)}}, now)
+	s.Merge(jaypitch.MeshUpdate{Revision: 100, Era: era(1), Config: config(4, "/b/"),
+		Servers: []*schema.MeshServer{reported("2", 5, 70, true), tombstone("3", 80), reported("4", 1, 90, false)}}, now)
+	c := s.Merge(jaypitch.MeshUpdate{Revision: 50, Era: era(2), Full: true, Config: config(3, "/a/"),
+		Servers: []*schema.MeshServer{reported("1", 1, 10, false), reported("2", 1, 20, false), reported("3", 1, 30, false)}}, now)
+	if !c.Restored || s.Position() != (jaypitch.Position{Era: era(2), Revision: 50}) {
+		t.Fatalf("position %v after a restore", s.Position())
+	}
+	return s
+}
+
+// TestRestoreUndoesNothing guards against a restore of the store that brings back what had been replaced, drained or removed.
+func TestRestoreUndoesNothing(t *testing.T) {
+	t.Run("the version, the draining server and the removed one stay as they were", func(t *testing.T) {
+		is := is.New(t)
+		s := restoredReplica(t)
+		is.Equal(s.Table().Version, int64(4))
+		assertInUse(t, s, "1", "4")
+	})
+	t.Run("a server that the copy lacks is removed if it doesn't write its entry again", func(t *testing.T) {
+		s := restoredReplica(t)
+		s.Expire(now.Add(relistTime))
+		assertInUse(t, s, "1")
+	})
+	t.Run("a server that the copy lacks stays in use if it does", func(t *testing.T) {
+		s := restoredReplica(t)
+		s.Merge(jaypitch.MeshUpdate{Revision: 52, Era: era(2), Servers: []*schema.MeshServer{reported("4", 2, 52, false)}}, now)
+		s.Expire(now.Add(relistTime))
+		assertInUse(t, s, "1", "4")
+	})
+	t.Run("a lower revision of the new era replaces a higher one of before", func(t *testing.T) {
+		is := is.New(t)
+		s := restoredReplica(t)
+		c := s.Merge(jaypitch.MeshUpdate{Revision: 53, Era: era(2), Config: config(5, "/c/"),
+			Servers: []*schema.MeshServer{reported("1", 2, 51, true), reported("2", 7, 52, false), reported("3", 7, 53, false)}}, now)
+		is.True(c.Config)
+		assertInUse(t, s, "2", "3", "4")
+	})
+	t.Run("an entry of the copy applies if the store still has it after the servers that are gone expired", func(t *testing.T) {
+		s := restoredReplica(t)
+		s.Expire(now.Add(copyExpiry))
+		assertInUse(t, s, "1", "2", "3")
+	})
+	t.Run("an entry of the copy that the store removes stays removed", func(t *testing.T) {
+		s := restoredReplica(t)
+		s.Merge(jaypitch.MeshUpdate{Revision: 52, Era: era(2), Servers: []*schema.MeshServer{tombstone("2", 51), tombstone("3", 52)}}, now)
+		s.Expire(now.Add(copyExpiry))
+		assertInUse(t, s, "1")
+	})
+}
+
+// TestRestoreReachesPeers guards against sidecars that take a higher revision of an earlier era for newer.
+func TestRestoreReachesPeers(t *testing.T) {
+	before := func() *Replica {
+		s := NewReplica()
+		s.Merge(jaypitch.MeshUpdate{Revision: 100, Era: era(1), Full: true, Config: config(4, "/b/"), Servers: []*schema.MeshServer{reported("1", 1, 10, false)}}, now)
+		return s
+	}
+	follow := func(t *testing.T, s, from *Replica) Change {
+		t.Helper()
+		u, e := s.UpdateFrom(from.ChangesSince(s.Position(), s.Table().Version))
+		is.New(t).True(e == nil)
+		return s.Merge(u, now)
+	}
+	t.Run("a peer of the era before gets everything", func(t *testing.T) {
+		is := is.New(t)
+		reader, other := restoredReplica(t), before()
+		reader.Merge(jaypitch.MeshUpdate{Revision: 54, Era: era(2), Config: config(5, "/c/")}, now)
+		is.True(reader.Position().Compare(other.Position()) > 0)
+		is.True(follow(t, other, reader).Restored)
+		is.Equal(other.Position(), reader.Position())
+		is.Equal(other.Table().Version, int64(5))
+	})
+	t.Run("a peer of the era before undoes nothing", func(t *testing.T) {
+		is := is.New(t)
+		s := restoredReplica(t)
+		follow(t, s, before())
+		is.Equal(s.Position(), jaypitch.Position{Era: era(2), Revision: 50})
+		assertInUse(t, s, "1", "4")
+	})
+	t.Run("a late response of the store from the era before undoes nothing", func(t *testing.T) {
+		is := is.New(t)
+		s := restoredReplica(t)
+		c := s.Merge(jaypitch.MeshUpdate{Revision: 100, Era: era(1), Full: true, Servers: []*schema.MeshServer{reported("1", 1, 10, false)}}, now)
+		is.Equal(len(c.Servers), 0)
+		is.Equal(s.Revision(), int64(50))
+	})
+	t.Run("a peer of an older build counts as of this era only until a restore", func(t *testing.T) {
+		is := is.New(t)
+		older := jaypitch.Position{Revision: 100}
+		is.True(before().Comparable(older))
+		is.True(!restoredReplica(t).Comparable(older))
+		is.True(restoredReplica(t).ChangesSince(older, 4).GetWhole())
+	})
+	t.Run("content of older builds gives way to the store's", func(t *testing.T) {
+		is := is.New(t)
+		s := NewReplica()
+		s.Merge(jaypitch.MeshUpdate{Revision: 100, Full: true, Servers: []*schema.MeshServer{reported("1", 1, 10, false)}}, now)
+		is.True(s.Merge(jaypitch.MeshUpdate{Revision: 50, Era: era(2), Full: true}, now).Restored)
+		is.Equal(s.Position(), jaypitch.Position{Era: era(2), Revision: 50})
+	})
+	t.Run("a second restore", func(t *testing.T) {
+		is := is.New(t)
+		s := restoredReplica(t)
+		is.True(s.Merge(jaypitch.MeshUpdate{Revision: 20, Era: era(3), Full: true, Servers: []*schema.MeshServer{reported("1", 1, 10, false)}}, now).Restored)
+		is.Equal(s.Position(), jaypitch.Position{Era: era(3), Revision: 20})
+		assertInUse(t, s, "1", "4")
 	})
 }
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -48,6 +48,16 @@
 	RateLimit    float64
 }
 
+// Position returns the position of the sender's replica.
+func (f *MeshRequest) Position() Position {
+	return Position{Era: f.Era, Revision: f.Revision}
+}
+
+// Position returns the position of the receiver's replica.
+func (l MeshLoadReport) Position() Position {
+	return Position{Era: l.Era, Revision: l.Revision}
+}
+
 // MeshResponse is the result of an attempt to forward a MeshRequest.
 type MeshResponse struct {
 	// Execution is NotExecuted only if it is certain that the server never executed the request and never will.
--- a/meshpeer/client.go
+++ b/meshpeer/client.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
+	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/burn"
 	"github.com/jaypitch/jaypitch/evidence"
 	"github.com/jaypitch/jaypitch/schema"
@@ -37,13 +38,13 @@
 		IdleConnTimeout: idleTimeout, DisableCompression: true}}}
 }
 
-// ChangesSince returns what changed after a revision of the store, from the replica of the sidecar at an address. Version is that of the
+// ChangesSince returns what changed after a position of the store, from the replica of the sidecar at an address. Version is that of the
 // configuration that the client holds. The request times out after requestTimeout.
-func (c *Client) ChangesSince(ctx context.Context, address string, after, version int64) (*schema.HeldResponse, error) {
+func (c *Client) ChangesSince(ctx context.Context, address string, after jaypitch.Position, version int64) (*schema.HeldResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	m := schemaconnect.NewMeshPeerClient(c.http, "http://"+address)
-	a, err := m.Held(ctx, connect.NewRequest(&schema.HeldRequest{After: after, Version: version}))
+	a, err := m.Held(ctx, connect.NewRequest(&schema.HeldRequest{After: after.Revision, Era: after.Era.Pointer(), Version: version}))
 	if err != nil {
 		return nil, eris.Wrapf(err, "requesting the changes from the sidecar at %s", address)
 	}
--- a/meshpeer/server.go
+++ b/meshpeer/server.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/burn"
 	"github.com/jaypitch/jaypitch/evidence"
 	"github.com/jaypitch/jaypitch/mesh"
@@ -21,16 +22,16 @@
 	sourceAge    func() time.Duration
 	find         func(*schema.Subject) evidence.Finding
 	burn         func() []burn.Count
-	recordSender func(remote string, revision int64)
+	recordSender func(remote string, p jaypitch.Position)
 }
 
 var _ schemaconnect.MeshPeerHandler = (*Server)(nil)
 
 // NewHandler returns the path prefix and the handler of the MeshPeer service. SourceAge returns the time since the store confirmed the
 // replica, find this sidecar's finding on a subject, and counts its counts of good and bad requests. RecordSender is called with the address
-// of each client that requests changes and the revision that it holds.
+// of each client that requests changes and the position of its replica.
 func NewHandler(replica *mesh.Replica, sourceAge func() time.Duration, find func(*schema.Subject) evidence.Finding, counts func() []burn.Count,
-	recordSender func(remote string, revision int64)) (string, http.Handler) {
+	recordSender func(remote string, p jaypitch.Position)) (string, http.Handler) {
 	return schemaconnect.NewMeshPeerHandler(&Server{replica: replica, sourceAge: sourceAge, find: find, burn: counts, recordSender: recordSender},
 		connect.WithCompressMinBytes(compressMinBytes))
 }
@@ -40,8 +41,9 @@
 	// The age is read before the changes. It may belong to an older state than the one returned, but never to a newer one, which would
 	// confirm changes that the client doesn't get.
 	age := s.sourceAge()
-	s.recordSender(r.Peer().Addr, r.Msg.GetAfter())
-	out := s.replica.ChangesSince(r.Msg.GetAfter(), r.Msg.GetVersion())
+	after := jaypitch.Position{Era: jaypitch.NewEra(r.Msg.Era), Revision: r.Msg.GetAfter()}
+	s.recordSender(r.Peer().Addr, after)
+	out := s.replica.ChangesSince(after, r.Msg.GetVersion())
 	out.SourceAgeUs = age.Microseconds()
 	return connect.NewResponse(out), nil
 }
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -129,7 +129,8 @@
 func (d *Dispatcher) requestFor(a *attempts, f *jaypitch.MeshRequest, pick route.MeshPick) *jaypitch.MeshRequest {
 	out := *f
 	out.ServerID = pick.Server.GetId()
-	out.Revision = d.replica.Revision()
+	p := d.replica.Position()
+	out.Revision, out.Era = p.Revision, p.Era
 	out.CompleteBy = d.completeBy(a, pick)
 	out.ExpectContinue = pick.ExpectContinue
 	out.LimitHeardAt, out.RateLimit = pick.LimitHeardAt, pick.RateLimit
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -56,7 +56,7 @@
 	gauge("store_calls", "Requests to the store.", func() float64 { return float64(c.watcher.requestCount()) })
 	gauge("store_reads", "Reads of the full content of the store.", func() float64 { return float64(c.watcher.fullReadCount()) })
 	gauge("store_era", "Era of the store that the revision belongs to; -1 if unknown.", func() float64 {
-		if era := c.era.Load(); era != nil {
+		if era := c.replica.Position().Era; era.Known {
 			return float64(era.Number)
 		}
 		return -1
@@ -141,7 +141,7 @@
 func (c *Sidecar) recordAttempt(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int) {
 	c.metrics.attempts.WithLabelValues(r.Code.Info().Name).Inc()
 	if v := c.replica.Table().Servers[f.ServerID]; v != nil && r.LoadReport.Slots > 0 && v.GetAddress() != c.settings.Load().GetSidecar().GetBackend() {
-		c.peerPoller.recordRevision(c.peerAddress(v.GetAddress()), r.LoadReport.Revision, r.LoadReport.SourceAge)
+		c.peerPoller.recordPosition(c.peerAddress(v.GetAddress()), r.LoadReport.Position(), r.LoadReport.SourceAge)
 	}
 	if r.Code == jaypitch.CodeOK && !c.logBudget.Sampled(f.ID) || !c.logBudget.AllowRequest(logline.Passed, f.ID, c.now()) {
 		return
--- a/sidecar/peer_poller.go
+++ b/sidecar/peer_poller.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/mesh"
 	"github.com/jaypitch/jaypitch/meshpeer"
 )
@@ -60,12 +61,15 @@
 	ageCheckInterval = 150 * time.Millisecond
 )
 
-// recordRevision records the revision that another sidecar reports, with the time since its last confirmation.
-func (p *peerPoller) recordRevision(address string, revision int64, age time.Duration) {
+// recordPosition records the position that another sidecar reports, with the time since its last confirmation.
+func (p *peerPoller) recordPosition(address string, reported jaypitch.Position, age time.Duration) {
 	c := p.sidecar
-	current := c.replica.Revision()
-	if revision <= current {
-		if age < unknownAge && revision == current {
+	order := reported.Compare(c.replica.Position())
+	if order < 0 || !c.replica.Comparable(reported) {
+		return
+	}
+	if order == 0 {
+		if age < unknownAge {
 			c.confirmation.confirm(c.now().Add(-age))
 		}
 		return
@@ -147,7 +151,7 @@
 func (p *peerPoller) poll(ctx context.Context, address string) {
 	c := p.sidecar
 	requestedAt := c.now()
-	m, err := p.client.ChangesSince(ctx, address, c.replica.Revision(), c.replica.Table().Version)
+	m, err := p.client.ChangesSince(ctx, address, c.replica.Position(), c.replica.Table().Version)
 	if err != nil {
 		if c.logBudget.Allow("peer", requestedAt) {
 			c.log.Info("sidecar gives no answer", zap.String("peer", address), zap.Error(err))
@@ -159,7 +163,7 @@
 		c.log.Warn("difference refused", zap.String("peer", address), zap.Int("code", int(e.Code)), zap.String("reason", e.Reason))
 		return
 	}
-	if u.Revision == 0 || u.Revision < c.replica.Revision() {
+	if u.Revision == 0 || !c.replica.Comparable(u.Position()) || u.Position().Compare(c.replica.Position()) < 0 {
 		return
 	}
 	c.merge(u, address)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -73,8 +73,6 @@
 	stopping atomic.Bool
 	// endsAt is when a stopping sidecar ends at the latest; nil before it stops.
 	endsAt atomic.Pointer[time.Time]
-	// era is the latest era of the store that an update had; nil before the first one.
-	era atomic.Pointer[jaypitch.Era]
 	// unconfirmedSince is when the process resumed from a pause; nil once the replica is confirmed.
 	unconfirmedSince atomic.Pointer[time.Time]
 
@@ -129,7 +127,7 @@
 	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
 		outbound.WithNotices(p.DecodeNotice))
 	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, s.GetSidecar().GetMemoryMb()*megabyte/bodyMemoryDivisor, c.tracker, c.now, c.recordRequest)
-	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, revision: c.replica.Revision, confirmation: c.confirmation, isReader: c.isReader, triggered: make(chan struct{}, 1), now: c.now,
+	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
 	return c, nil
 }
@@ -190,8 +188,13 @@
 
 // merge merges an update into the replica, logs what changed and returns it.
 func (c *Sidecar) merge(u jaypitch.MeshUpdate, from string) mesh.Change {
-	c.recordEra(u, from)
+	before := c.replica.Position()
 	change := c.replica.Merge(u, c.now())
+	if change.Restored {
+		c.metrics.restores.Inc()
+		c.log.Warn("store restored", zap.Int64("era", u.Era.Number), zap.Int64("era_before", before.Era.Number), zap.Int64("revision", u.Revision),
+			zap.Int64("revision_before", before.Revision), zap.String("from", from))
+	}
 	if change.Config {
 		now := c.now()
 		c.appliedAt.Store(&now)
@@ -208,35 +211,21 @@
 	if len(change.Servers) > 0 {
 		c.dispatcher.Prune(c.replica.Table())
 	}
-	if from == fromStore && (change.Config || len(change.Servers) > 0) {
+	if from == fromStore && (change.Restored || change.Config || len(change.Servers) > 0) {
 		c.peerPoller.signalChange()
 	}
 	return change
 }
 
-// recordEra logs and counts a change of the store's era.
-func (c *Sidecar) recordEra(u jaypitch.MeshUpdate, from string) {
-	if !u.Era.Known {
-		return
-	}
-	before := c.era.Swap(&u.Era)
-	if before == nil || !before.Differs(u.Era) {
-		return
-	}
-	c.metrics.restores.Inc()
-	c.log.Warn("store restored", zap.Int64("era", u.Era.Number), zap.Int64("era_before", before.Number), zap.Int64("revision", u.Revision),
-		zap.Int64("revision_before", c.replica.Revision()), zap.String("from", from))
-}
-
 // isReader reports whether this sidecar watches the store.
 func (c *Sidecar) isReader() bool {
 	return isReader(c.replica.Table(), c.settings.Load().GetSidecar().GetBackend())
 }
 
-// recordSender records the revision that the sender of a request reports. remote is the sender's address.
-func (c *Sidecar) recordSender(remote string, revision int64) {
-	if revision > c.replica.Revision() {
-		c.peerPoller.recordRevision(c.peerAddress(remote), revision, unknownAge)
+// recordSender records the position that the sender of a request reports. remote is the sender's address.
+func (c *Sidecar) recordSender(remote string, p jaypitch.Position) {
+	if p.Compare(c.replica.Position()) > 0 {
+		c.peerPoller.recordPosition(c.peerAddress(remote), p, unknownAge)
 	}
 }
 
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -450,7 +450,11 @@
 	m.eventually("version 3 is in force everywhere", func() bool {
 		return !slices.ContainsFunc(m.hosts, func(h *testHost) bool { return h.sidecar.replica.Table().Version != 3 })
 	})
-	requests := m.store.Requests()
-	time.Sleep(2 * staleAge)
-	is.True(m.store.Requests()-requests < 100) // the readers watch again, instead of reading everything all the time
+	reader := m.hosts[slices.IndexFunc(m.hosts, func(h *testHost) bool { return h.sidecar.isReader() })].sidecar.watcher
+	requests := reader.requestCount()
+	m.eventually("a reader watches again", func() bool { return reader.requestCount() > requests })
+	reads := reader.fullReadCount()
+	requests = reader.requestCount()
+	m.eventually("four requests have ended", func() bool { return reader.requestCount() > requests+4 })
+	is.True(reader.fullReadCount() <= reads+1) // a pause of this process may cause one
 }
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -17,8 +17,8 @@
 type watcher struct {
 	source jaypitch.MeshSource
 	merge  func(jaypitch.MeshUpdate, string) mesh.Change
-	// revision returns the revision of the replica.
-	revision     func() int64
+	// position returns the position of the replica.
+	position     func() jaypitch.Position
 	confirmation *confirmation
 	// isReader reports whether this sidecar watches the store.
 	isReader func() bool
@@ -60,20 +60,25 @@
 // full read if that fails and peers have confirmed the replica within staleAge.
 func (w *watcher) run(ctx context.Context) {
 	full := true
+	rereads := 0 // consecutive requests after which everything had to be read again
 	for ctx.Err() == nil {
 		reader := w.isReader()
 		if !full && !reader && !w.awaitTrigger(ctx) {
 			continue
 		}
-		before := w.revision()
+		before := w.position()
 		err := w.fetch(ctx, full, reader)
 		if ctx.Err() != nil {
 			return
 		}
 		switch {
-		case w.takeResync(), errors.Is(err, jaypitch.ErrCompacted):
-			w.log.Info("reading everything again", zap.Int64("revision", before), zap.Error(err))
+		case w.takeResync(), errors.Is(err, jaypitch.ErrCompacted), errors.Is(err, jaypitch.ErrRestored):
+			w.log.Info("reading everything again", zap.Int64("revision", before.Revision), zap.Error(err))
+			if rereads > 0 {
+				_ = jaypitch.Sleep(ctx, min(minRetryDelay<<min(rereads, 5), maxRetryDelay))
+			}
 			full = true
+			rereads++
 			continue
 		case err != nil:
 			w.backOff(ctx, err)
@@ -81,8 +86,11 @@
 			full = full && w.confirmation.age() > staleAge
 			continue
 		}
+		if !full {
+			rereads = 0
+		}
 		full = false
-		if w.revision() > before {
+		if w.position() != before {
 			_ = jaypitch.Sleep(ctx, storeBatchDelay)
 		}
 	}
@@ -124,19 +132,23 @@
 	w.mu.Unlock()
 	var u jaypitch.MeshUpdate
 	var err error
+	held := w.position()
 	confirmedAt := requestedAt
 	switch {
 	case full:
 		u, err = w.source.Read(ctx)
 	case !reader:
-		u, err = w.source.Watch(ctx, w.revision(), requestedAt)
+		u, err = w.source.Watch(ctx, held.Revision, requestedAt)
 	default:
-		u, err = w.source.Watch(ctx, w.revision(), requestedAt.Add(w.maxWait/2+rand.N(w.maxWait/2)))
+		u, err = w.source.Watch(ctx, held.Revision, requestedAt.Add(w.maxWait/2+rand.N(w.maxWait/2)))
 		confirmedAt = w.now().Add(-storeBatchDelay)
 	}
 	if err != nil {
 		return err
 	}
+	if !full && u.Era.Differs(held.Era) {
+		return jaypitch.ErrRestored
+	}
 	u.KeepMissingUntil = w.recordSuccess()
 	w.merge(u, fromStore)
 	w.confirmation.confirm(confirmedAt)
