The tests' mesh waits until every sidecar lists every server

Cause: newMesh waited for readiness, which a sidecar reaches before it has read the last server's entry; reports query the hosts that are listed.

Change: the fixture also waits until every sidecar lists every server.

--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -53,7 +53,7 @@
 	portServer
 )
 
-// newMesh starts a mesh and waits until all sidecars are ready. network is the third byte of the loopback addresses of its hosts.
+// newMesh starts a mesh and waits until all sidecars are ready and list every server. network is the third byte of the loopback addresses of its hosts.
 func newMesh(t *testing.T, network, hosts int) *testMesh {
 	t.Helper()
 	m := &testMesh{t: t, store: standin.NewStore(1000, 50)}
@@ -70,8 +70,11 @@
 	for i := range m.hosts {
 		m.registerServer(i, "ready")
 	}
-	m.eventually("all sidecars are ready", func() bool {
-		for i := range m.hosts {
+	m.eventually("all sidecars are ready and list every server", func() bool {
+		for i, h := range m.hosts {
+			if len(h.sidecar.replica.Table().Servers) < hosts {
+				return false
+			}
 			if status, _ := m.get(i, portReady, platform.ReadyPath, ""); status != http.StatusOK {
 				return false
 			}
