Differences apply to any version that a sidecar still holds

What callers saw: during a storm of configurations some sidecars were late by up to a second.

Cause: a sidecar polls several others at once. The first response raised its version, and the others, with differences from the version before, were refused as a whole: with the newer version, the changed servers and the confirmation that they held.

Change: a difference is applied to its base among the earlier versions, which the sidecar keeps anyway to make differences itself.

Measured: TestConcurrentDifferencesAreRefused fails without it and passes.

Why it works: the difference gives the whole of its version, and the newer one stays in force.

--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -268,7 +268,7 @@
 }
 
 // UpdateFrom converts another sidecar's response into an update. It fails with CodeDigestMismatch if the response holds a difference
-// from a version other than the replica's.
+// from a version that the replica no longer holds.
 func (s *Replica) UpdateFrom(m *schema.HeldResponse) (jaypitch.MeshUpdate, *jaypitch.Error) {
 	u := jaypitch.MeshUpdate{Revision: m.GetRevision(), Era: jaypitch.NewEra(m.Era), Full: m.GetWhole() && m.GetRevision() > 0, Config: m.GetConfig(), Servers: m.GetServers()}
 	if m.GetDifference() == nil {
@@ -276,22 +276,31 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c, e := Patch(s.config, m.GetDifference())
+	c, e := Patch(s.configOrEarlier(m.GetDifference().GetBase()), m.GetDifference())
 	u.Config = c
 	return u, e
 }
 
+// configOrEarlier returns the configuration of a version if it is among the earlier ones, otherwise the current one. Responses of several
+// sidecars may be in progress at the same time, so the version may have risen since the request.
+func (s *Replica) configOrEarlier(version int64) *schema.MeshConfig {
+	for _, c := range s.earlierConfigs {
+		if c.GetVersion() == version {
+			return c
+		}
+	}
+	return s.config
+}
+
 // addConfig adds the configuration to a response, as a difference if the version that the receiver has is among the earlier ones.
 func (s *Replica) addConfig(out *schema.HeldResponse, version int64) {
 	if out.Difference = s.differences[version]; out.Difference != nil {
 		return
 	}
-	for _, c := range s.earlierConfigs {
-		if c.GetVersion() == version {
-			out.Difference = Difference(c, s.config)
-			s.differences[version] = out.Difference
-			return
-		}
+	if c := s.configOrEarlier(version); c.GetVersion() == version {
+		out.Difference = Difference(c, s.config)
+		s.differences[version] = out.Difference
+		return
 	}
 	out.Config = s.config
 }
--- a/mesh/replica_test.go
+++ b/mesh/replica_test.go
@@ -368,3 +368,26 @@
 		assertInUse(t, s, "1", "4")
 	})
 }
+
+// TestConcurrentDifferencesAreRefused guards against a sidecar that polls several others at once and refuses all responses but the first, since
+// they hold differences from the version of its requests.
+func TestConcurrentDifferencesAreRefused(t *testing.T) {
+	is := is.New(t)
+	first := jaypitch.MeshUpdate{Revision: 3, Full: true, Config: config(3, "/a/"), Servers: []*schema.MeshServer{server("a", "1.1.1.1:1", 2)}}
+	s, near, far := NewReplica(), NewReplica(), NewReplica()
+	for _, r := range []*Replica{s, near, far} {
+		r.Merge(first, now)
+	}
+	near.Merge(jaypitch.MeshUpdate{Revision: 4, Config: config(4, "/b/")}, now)
+	far.Merge(jaypitch.MeshUpdate{Revision: 6, Config: config(6, "/c/"), Servers: []*schema.MeshServer{tombstone("a", 5)}}, now)
+	position, version := s.Position(), s.Table().Version
+	for _, peer := range []*Replica{near, far, near} {
+		u, e := s.UpdateFrom(peer.ChangesSince(position, version))
+		is.True(e == nil)
+		s.Merge(u, now)
+	}
+	is.Equal(s.Table().Version, int64(6))
+	is.True(s.Table().Match("h", "/c/x") != nil)
+	is.True(s.Table().Match("h", "/a/x") == nil)
+	assertInUse(t, s)
+}
