Confirmations that sidecars report to each other grow old with time

Cause: each response carries the age of the receiver's last confirmation, and the sender took its own replica for confirmed that long before the response arrived. The time on the way was missing, so confirmations that went around grew old more slowly than time passed. While all three readers were disconnected from the store without noticing, no sidecar took its replica for stale, and nobody read the store.

Change: the network time of the attempt is added to the reported age.

Why it works: the age can now only be too high, so a confirmation never outlives its time.

--- a/sidecar/confirmation.go
+++ b/sidecar/confirmation.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/jaypitch/jaypitch"
 )
 
 // confirmation is the latest time up to which the replica is known to hold every change of the store. It is safe for concurrent use.
@@ -16,6 +18,12 @@
 // unknownAge is the age that a process reports if its replica was never confirmed.
 const unknownAge = time.Hour
 
+// reportedAge returns an upper bound of the time since the store confirmed the receiver's replica. The receiver measured it when it responded, and
+// the network time bounds the time since then. Without that, an age that sidecars report to each other would grow slower than time passes.
+func reportedAge(r *jaypitch.MeshResponse) time.Duration {
+	return min(unknownAge, r.LoadReport.SourceAge+max(0, r.NetworkTime))
+}
+
 // confirm records that the replica holds everything that the store held at a time.
 func (c *confirmation) confirm(at time.Time) {
 	c.mu.Lock()
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -141,7 +141,7 @@
 func (c *Sidecar) recordAttempt(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int) {
 	c.metrics.attempts.WithLabelValues(r.Code.Info().Name).Inc()
 	if v := c.replica.Table().Servers[f.ServerID]; v != nil && r.LoadReport.Slots > 0 && v.GetAddress() != c.settings.Load().GetSidecar().GetBackend() {
-		c.peerPoller.recordPosition(c.peerAddress(v.GetAddress()), r.LoadReport.Position(), r.LoadReport.SourceAge)
+		c.peerPoller.recordPosition(c.peerAddress(v.GetAddress()), r.LoadReport.Position(), reportedAge(r))
 	}
 	if r.Code == jaypitch.CodeOK && !c.logBudget.Sampled(f.ID) || !c.logBudget.AllowRequest(logline.Passed, f.ID, c.now()) {
 		return
