Bytes without an end don't hold a request until its deadline

What callers would have seen: a request to a server that sends the response to another request, with a body that doesn't end, waits until its deadline, and a slot with it.

Cause: the bodies of responses to other requests were skipped whatever their length. Heads, lines and chunk sizes without an end were bounded already, and a body of the right response ends at the deadline, incomplete.

Change: at most a megabyte of a body of another response is skipped; then the attempt fails and the connection is closed. The stand-in learns to send bytes without an end in five places.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -79,7 +79,9 @@
 	maxInlineBodyBytes = 8 << 10
 	// maxSkippedResponses limits the interim responses, and the responses to other requests, that are skipped before the response to a request.
 	maxSkippedResponses = 4
-	readBufferBytes     = 4 << 10
+	// maxSkippedBytes limits the body of a response to another request that is skipped. A longer one may have no end.
+	maxSkippedBytes = 1 << 20
+	readBufferBytes = 4 << 10
 )
 
 var (
@@ -191,13 +193,22 @@
 		case a.ContentLength < 0:
 			return nil, errOtherResponses
 		}
-		if _, err := io.Copy(io.Discard, a.Body); err != nil {
+		if err := skipBody(a.Body); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errOtherResponses
 }
 
+// skipBody reads the body of a response to another request. It fails if that is longer than maxSkippedBytes.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
+	if n > maxSkippedBytes {
+		return errOtherResponses
+	}
+	return err
+}
+
 // reusable reports whether an idle connection is still open and has no unsolicited data to read.
 func (c *Conn) reusable() bool {
 	if c.reader.Buffered() > 0 {
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -62,6 +63,16 @@
 	Failing Behaviour = "fails"
 	// WrongAttemptID responds with the ID of another attempt.
 	WrongAttemptID Behaviour = "foreign"
+	// EndlessHead sends a header that doesn't end until the client closes the connection.
+	EndlessHead Behaviour = "endless_head"
+	// EndlessLine sends bytes without a line end, instead of a response, until the client closes the connection.
+	EndlessLine Behaviour = "endless_line"
+	// EndlessChunk sends a response whose first chunk has a size that doesn't end until the client closes the connection.
+	EndlessChunk Behaviour = "endless_chunk"
+	// EndlessBody sends a response whose body doesn't end until the client closes the connection.
+	EndlessBody Behaviour = "endless_body"
+	// EndlessOther sends the response to another attempt, with a body that doesn't end until the client closes the connection.
+	EndlessOther Behaviour = "endless_foreign"
 	// Unstamped leaves out X-Server-Stamp, which marks a response as the backend server's own.
 	Unstamped Behaviour = "unstamped"
 )
@@ -239,6 +250,9 @@
 
 func (s *MeshServer) writeResponse(w net.Conn, b Behaviour, notice, attemptID string, body []byte) bool {
 	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", notice, attemptID, len(body)+2, body) + "ok"
+	if start, unit := endless(b, attemptID); unit != "" {
+		return writeEndlessly(w, start, unit)
+	}
 	switch b {
 	case Extra:
 		response += response
@@ -266,3 +280,30 @@
 	_, err := io.WriteString(w, response)
 	return err == nil
 }
+
+// endless returns the start of a response that doesn't end, and what follows it again and again; empty for other behaviours.
+func endless(b Behaviour, attemptID string) (start, unit string) {
+	const head = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Attempt-Id: "
+	switch b {
+	case EndlessHead:
+		return head + attemptID + "\r\n", "X-More: more\r\n"
+	case EndlessLine:
+		return "", "\x00\x01no answer"
+	case EndlessChunk:
+		return head + attemptID + "\r\nTransfer-Encoding: chunked\r\n\r\n", "0;no answer"
+	case EndlessBody:
+		return head + attemptID + "\r\n\r\n", "no answer"
+	case EndlessOther:
+		return head + "other\r\nContent-Length: 1000000000000\r\n\r\n", "no answer"
+	}
+	return "", ""
+}
+
+// writeEndlessly writes until the client closes the connection. It returns false, since the connection can't be used again.
+func writeEndlessly(w io.Writer, start, unit string) bool {
+	_, err := io.WriteString(w, start)
+	for block := strings.Repeat(unit, 1000); err == nil; {
+		_, err = io.WriteString(w, block)
+	}
+	return false
+}
