A copied entry that the store removed is not used again

What callers would have seen: ten seconds after a restore, requests to a server that is gone.

Cause: an entry of the store's copy that is older than what its server reported is kept aside, and applies if the store still has it after ten seconds. A full update that lacked it, or a second restore, didn't drop it. Found when the diff was read again.

Measured: TestExpiredCopyComesBack fails in both cases without the change, and passes.

Why it works: what a full update lacks, the store has removed.

--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -166,7 +166,7 @@
 	for _, e := range s.servers {
 		v := proto.CloneOf(e.server)
 		v.Revision = 0
-		e.server = v
+		e.server, e.copied = v, nil
 		if v.GetGone() {
 			e.tombstoneUntil = now.Add(tombstoneLifetime)
 		}
@@ -372,6 +372,9 @@
 	}
 	var removed []*schema.MeshServer
 	for id, e := range s.servers {
+		if !listed[id] {
+			e.copied = nil
+		}
 		if listed[id] || e.server.GetGone() || e.server.GetRevision() > u.Revision {
 			continue
 		}
--- a/mesh/replica_test.go
+++ b/mesh/replica_test.go
@@ -391,3 +391,18 @@
 	is.True(s.Table().Match("h", "/a/x") == nil)
 	assertInUse(t, s)
 }
+
+// TestExpiredCopyComesBack guards against a server whose entry was only in the store's copy, and is used again after the store has removed it.
+func TestExpiredCopyComesBack(t *testing.T) {
+	for name, u := range map[string]jaypitch.MeshUpdate{
+		"a full update without the entry": {Revision: 60, Era: era(2), Full: true, Servers: []*schema.MeshServer{reported("1", 1, 10, false)}},
+		"a second restore":                {Revision: 40, Era: era(3), Full: true, Servers: []*schema.MeshServer{reported("1", 1, 10, false)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := restoredReplica(t)
+			s.Merge(u, now)
+			s.Expire(now.Add(copyExpiry))
+			assertInUse(t, s, "1")
+		})
+	}
+}
