--- a/admit/slots.go
+++ b/admit/slots.go
@@ -23,8 +23,8 @@
 	started time.Time
 }
 
-// Slots assigns the slots of one backend server, and keeps to the rate limit that the server names. The request with the earliest target deadline goes first, and a request that can't complete by its
-// deadline doesn't start. Once the queue has not been empty for a while, requests are refused at random, with a probability that grows with
+// Slots assigns the slots of one backend server, and keeps to the rate limit that the server names. The request with the earliest target
+// deadline goes first, and a request that can't complete by its deadline doesn't start. Once the queue has not been empty for a while, requests are refused at random, with a probability that grows with
 // the queue and is somewhat higher for less urgent ranks. It isn't safe for concurrent use.
 type Slots struct {
 	size       int
--- a/hop/headers.go
+++ b/hop/headers.go
@@ -20,8 +20,8 @@
 	// a single header of fields joined by separator, to save bytes between data centres.
 	headerAttempt  = "Jaypitch-Pass"
 	headerResponse = "Jaypitch-Reply"
-	// headerNotice holds what sidecars tell each other of the backend server, as name=value pairs joined by separator. Names that aren't
-	// known, and sidecars that don't send the header, are accepted.
+	// headerNotice holds further data of both directions, as name=value pairs joined by separator: the store's era, and what is known of the
+	// backend server. Unknown names are ignored, and sidecars of older builds don't send the header.
 	headerNotice = "Jaypitch-Notice"
 	headerLength = "Content-Length"
 	separator    = ";"
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -36,7 +36,8 @@
 	// failing is the moving average of the share of failed requests, by rule.
 	failing  map[string]float64
 	stopping bool
-	// notice is the latest notice of the server with serverID, or what a sender reported of it. It is unknown until noticed is true.
+	// notice is the latest notice of the server with serverID. Until noticed is true, the server has not responded to this process, and the
+	// notice is what a sender reported, if any did.
 	notice  jaypitch.ServerNotice
 	noticed bool
 	// wakeTimer starts the queued requests that wait for the rate limit; nil before the first one.
--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -193,7 +193,7 @@
 		return false
 	}
 	p := &process{bornMS: v.BornMs}
-	if !p.maybe(e.server) {
+	if !p.matches(e.server) {
 		return false
 	}
 	e.leaving = p
@@ -201,8 +201,8 @@
 	return true
 }
 
-// maybe reports whether an entry may be about this process: the starts are equal, or one of them is unknown.
-func (p *process) maybe(v *schema.MeshServer) bool {
+// matches reports whether an entry may be about this process: the starts are equal, or one of them is unknown.
+func (p *process) matches(v *schema.MeshServer) bool {
 	return p.bornMS == nil || v.BornMs == nil || *p.bornMS == v.GetBornMs()
 }
 
@@ -357,7 +357,7 @@
 		return false
 	}
 	unknown := e.leaving.bornMS == nil || e.server.BornMs == nil
-	if e.leaving.maybe(e.server) && !(unknown && before.GetGone()) {
+	if e.leaving.matches(e.server) && !(unknown && before.GetGone()) {
 		return false
 	}
 	e.leaving = nil
