Unresponsive peers don't delay the request to the store

Cause: a sidecar with a stale replica polls three random peers, and waited for the slowest of them, up to 400 ms, before it asked the store or polled a peer known to be ahead.

Change: it waits 100 ms at most; polls that are still in progress go on, and no further round starts meanwhile.

Why it works: peers that respond do so within a few round trips, so the wait ends with them.

--- a/sidecar/peer_poller.go
+++ b/sidecar/peer_poller.go
@@ -25,8 +25,19 @@
 	// aheadPeers holds the address of a peer that has a newer revision.
 	aheadPeers chan string
 	// storeChanged is signaled when an update from the store changed the replica.
-	storeChanged  chan struct{}
-	notifications sync.WaitGroup
+	storeChanged chan struct{}
+	// background counts the polls that nobody waits for.
+	background sync.WaitGroup
+	// round is the latest round of polls of random peers; nil before the first one.
+	round *pollRound
+}
+
+// pollRound is a number of polls at the same time.
+type pollRound struct {
+	polls sync.WaitGroup
+	// ended is closed when all polls have ended.
+	ended chan struct{}
+	wg    *sync.WaitGroup
 }
 
 // peerPoll polls one sidecar.
@@ -51,6 +62,9 @@
 	expectedStoreRequestersInOutage = 1
 	// peersPolled is how many sidecars are polled at the same time, since some may be unreachable.
 	peersPolled = 3
+	// pollPatience is how long a sidecar with a stale replica waits for the peers that it polls before it considers a request to the store. Peers
+	// that respond do so within a few round trips.
+	pollPatience = 100 * time.Millisecond
 	// peersNotified is how many sidecars a reader notifies of a change. The others learn of it from requests and responses.
 	peersNotified = 3
 	// readerCount is how many sidecars, the readers, watch the store. The others get changes from them.
@@ -84,7 +98,7 @@
 	c := p.sidecar
 	t := time.NewTicker(ageCheckInterval)
 	defer t.Stop()
-	defer p.notifications.Wait()
+	defer p.background.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -114,25 +128,56 @@
 // some peers may be unreachable.
 func (p *peerPoller) notifyPeers(ctx context.Context) {
 	for _, address := range p.randomPeers(peersNotified) {
-		p.notifications.Add(1)
-		go (&peerPoll{poller: p, address: address, wg: &p.notifications}).run(ctx)
+		p.background.Add(1)
+		go (&peerPoll{poller: p, address: address, wg: &p.background}).run(ctx)
 	}
 }
 
-// refresh polls a few peers at the same time, and triggers a request to the store if none of them confirms the replica.
+// refresh polls a few peers at the same time, unless earlier polls are still in progress, and triggers a request to the store if none of them
+// confirms the replica soon.
 func (p *peerPoller) refresh(ctx context.Context) {
 	c := p.sidecar
-	var wg sync.WaitGroup
-	for _, address := range p.randomPeers(peersPolled) {
-		wg.Add(1)
-		go (&peerPoll{poller: p, address: address, wg: &wg}).run(ctx)
+	if p.round == nil || p.round.hasEnded() {
+		p.round = &pollRound{ended: make(chan struct{}), wg: &p.background}
+		for _, address := range p.randomPeers(peersPolled) {
+			p.round.polls.Add(1)
+			go (&peerPoll{poller: p, address: address, wg: &p.round.polls}).run(ctx)
+		}
+		p.background.Add(1)
+		go p.round.run()
 	}
-	wg.Wait()
+	p.round.await()
 	if c.confirmation.age() > staleAge && rand.Float64()*float64(c.replica.Table().HostCount()) < storeRequesters(c.watcher.failureCount()) {
 		c.watcher.trigger()
 	}
 }
 
+// run waits for the polls.
+func (r *pollRound) run() {
+	defer r.wg.Done()
+	r.polls.Wait()
+	close(r.ended)
+}
+
+func (r *pollRound) hasEnded() bool {
+	select {
+	case <-r.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// await waits until all polls have ended, but no longer than pollPatience, since some peers may be unresponsive.
+func (r *pollRound) await() {
+	t := time.NewTimer(pollPatience)
+	defer t.Stop()
+	select {
+	case <-r.ended:
+	case <-t.C:
+	}
+}
+
 // storeRequesters returns the expected number of sidecars of the fleet that send a request to the store per age check. After
 // outageFailures failures the store is most likely down for all, and a sidecar that sees its return updates the others.
 func storeRequesters(failures int) float64 {
