A refusal counts only for the request that it names

Clients could be told 'not run, try again' for a request that a server had run: a refusal without a request ID, written once more on a kept connection, was taken for the refusal of the next request. The sidecar then also sent that request to a second server.

Cause: the receiver compared the ID of responses with a result, but took any response with the header of a refusal, or with status 421, as it came. A connection that had carried a response to another request was reused.

Change: a refusal that doesn't name the request leaves its execution unknown; a connection on which a response to another request was skipped is closed after the response.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -50,6 +50,8 @@
 	awaitingContinue bool
 	// writer sends the body concurrently; nil if the body was sent with the head or not at all.
 	writer *bodyWriter
+	// skipped is true if a response to another request came first. Its server may send more of them.
+	skipped bool
 }
 
 // responseBody reads the body of a response. At its end it returns the connection to the pool or closes it.
@@ -109,7 +111,7 @@
 		return nil, &Error{Sent: !x.awaitingContinue, Err: err}
 	}
 	b := &responseBody{ReadCloser: a.Body, conn: c, pool: p, stop: stop, writer: x.writer}
-	if !x.awaitingContinue {
+	if !x.awaitingContinue && !x.skipped {
 		b.usableUntil = p.usableUntil(a)
 	}
 	a.Body = b
@@ -193,6 +195,7 @@
 		case a.ContentLength < 0:
 			return nil, errOtherResponses
 		}
+		x.skipped = true
 		if err := skipBody(a.Body); err != nil {
 			return nil, err
 		}
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -309,11 +309,15 @@
 
 // classify returns the response that the head of the server's HTTP response describes, without its body.
 func (r *Receiver) classify(f *jaypitch.MeshRequest, a *http.Response) *jaypitch.MeshResponse {
+	refused := a.StatusCode == http.StatusMisdirectedRequest || a.Header.Get(r.names.NotExecuted) != ""
 	switch {
+	case refused && a.Header.Get(r.names.RequestID) != f.ID:
+		// It may be the refusal of an earlier request on the connection, written once more.
+		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeSpoiled, "the refusal with status %d does not name this request", a.StatusCode)
 	case a.StatusCode == http.StatusMisdirectedRequest:
 		return &jaypitch.MeshResponse{Execution: jaypitch.NotExecuted, Code: jaypitch.CodeMisdirected, Arrived: true,
 			Reason: "the backend server at the address is " + a.Header.Get(r.names.ServerID)}
-	case a.Header.Get(r.names.NotExecuted) != "":
+	case refused:
 		return &jaypitch.MeshResponse{Execution: jaypitch.NotExecuted, Code: jaypitch.CodeShed, Arrived: true,
 			Reason: "the backend server responded " + a.Status + " without executing the request"}
 	case a.Header.Get(r.names.ServerStamp) == "" || a.Header.Get(r.names.RequestID) != f.ID || a.Header.Get("Content-Encoding") != "":
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -75,6 +75,12 @@
 	EndlessOther Behaviour = "endless_foreign"
 	// Unstamped leaves out X-Server-Stamp, which marks a response as the backend server's own.
 	Unstamped Behaviour = "unstamped"
+	// RepeatedRefusal executes the request, but writes the refusal of an earlier attempt once more before the response.
+	RepeatedRefusal Behaviour = "repeats_refusal"
+	// AnonymousRefusal is RepeatedRefusal with a refusal that doesn't name its attempt.
+	AnonymousRefusal Behaviour = "repeats_anonymous_refusal"
+	// AnonymousMisdirected is AnonymousRefusal with the refusal of a request that was meant for another server.
+	AnonymousMisdirected Behaviour = "repeats_anonymous_421"
 )
 
 // NewMeshServer starts a server that listens on a loopback address. The ID is its instance ID in the mesh; each request occupies
@@ -209,7 +215,7 @@
 	}
 	switch expect := r.Header.Get("X-Expect-Instance"); {
 	case expect != "" && expect != id:
-		fmt.Fprintf(w, "HTTP/1.1 421 Misdirected Request\r\n%sX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", notice, id)
+		fmt.Fprintf(w, "HTTP/1.1 421 Misdirected Request\r\n%sX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", notice, attemptID, id)
 		return true
 	case full || b == Shedding:
 		fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\n%sX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", notice, attemptID)
@@ -256,6 +262,12 @@
 	switch b {
 	case Extra:
 		response += response
+	case RepeatedRefusal:
+		response = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: earlier\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" + response
+	case AnonymousRefusal:
+		response = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" + response
+	case AnonymousMisdirected:
+		response = "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: other\r\nContent-Length: 0\r\n\r\n" + response
 	case Unframed:
 		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\n\r\n%sok", notice, attemptID, body)
 		return false
