Odd entries of the store cost themselves alone

An entry of another writer with a service that the configuration doesn't name took the server at its address out of use, since the newest entry of an address counts; a few of them could take the places of all readers of the store, and changes then reached the mesh only by the polls of stale sidecars.

--- a/mesh/replica_test.go
+++ b/mesh/replica_test.go
@@ -150,6 +150,27 @@
 	assertInUse(t, old, "b")
 }
 
+// TestEntryOfUnnamedServiceHidesServer guards against an entry of another writer that takes a server out of use: it has the server's address
+// and a service that the configuration doesn't name.
+func TestEntryOfUnnamedServiceHidesServer(t *testing.T) {
+	is := is.New(t)
+	s := NewReplica()
+	c := config(1, "/p/")
+	c.Services = []string{"x"}
+	odd := server("odd", "a:1", 9)
+	odd.Service = "unnamed"
+	s.Merge(jaypitch.MeshUpdate{Revision: 9, Config: c, Servers: []*schema.MeshServer{server("one", "a:1", 2), odd}}, now)
+	assertInUse(t, s, "one")
+	is.True(s.Table().Names("x"))
+	is.True(!s.Table().Names("unnamed"))
+	t.Run("once the configuration names the service, the newest entry counts", func(t *testing.T) {
+		c := config(2, "/p/")
+		c.Services = []string{"x", "unnamed"}
+		s.Merge(jaypitch.MeshUpdate{Revision: 10, Config: c}, now)
+		assertInUse(t, s)
+	})
+}
+
 func TestPatchRejectsAnotherBase(t *testing.T) {
 	is := is.New(t)
 	_, e := Patch(config(3), Difference(config(2), config(4)))
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -20,6 +20,8 @@
 	// Servers holds all servers in use by ID, including draining ones.
 	Servers map[string]*schema.MeshServer
 
+	// named holds the services that the configuration names; nil without a configuration.
+	named map[string]bool
 	// leaving holds the IDs of the servers that stated that they are leaving.
 	leaving   map[string]bool
 	rules     ruleIndex
@@ -46,11 +48,12 @@
 func newTable(c *schema.MeshConfig, rules ruleIndex, servers []*schema.MeshServer) *Table {
 	t := &Table{Version: c.GetVersion(), Limits: c.GetLimits(), Services: map[string]*Service{}, Servers: make(map[string]*schema.MeshServer, len(servers)),
 		rules: rules, byAddress: make(map[string]*schema.MeshServer, len(servers))}
-	slices.SortFunc(servers, func(a, b *schema.MeshServer) int { return cmp.Compare(a.GetRevision(), b.GetRevision()) })
+	t.nameServices(c)
+	slices.SortFunc(servers, t.compareAtAddress)
 	hosts := map[netip.Addr]bool{}
 	for _, v := range servers {
 		t.Servers[v.GetId()] = v
-		// Servers are in order of revision, so the newest at an address replaces older ones: addresses are reused.
+		// The last in this order replaces the others at an address: addresses are reused.
 		t.byAddress[v.GetAddress()] = v
 		if a, err := netip.ParseAddrPort(v.GetAddress()); err == nil {
 			hosts[a.Addr()] = true
@@ -61,6 +64,34 @@
 	return t
 }
 
+// nameServices records the services that the configuration names.
+func (t *Table) nameServices(c *schema.MeshConfig) {
+	if len(c.GetServices()) == 0 {
+		return
+	}
+	t.named = make(map[string]bool, len(c.GetServices()))
+	for _, name := range c.GetServices() {
+		t.named[name] = true
+	}
+}
+
+// compareAtAddress orders servers by how much their entries count at an address: those of services that the configuration names after the others,
+// which another writer may have made, and newer ones after older ones.
+func (t *Table) compareAtAddress(a, b *schema.MeshServer) int {
+	if named := t.Names(a.GetService()); named != t.Names(b.GetService()) {
+		if named {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(a.GetRevision(), b.GetRevision()), cmp.Compare(a.GetId(), b.GetId()))
+}
+
+// Names reports whether the configuration names a service. Without a configuration it reports true.
+func (t *Table) Names(service string) bool {
+	return t.named == nil || t.named[service]
+}
+
 func newRuleIndex(c *schema.MeshConfig) ruleIndex {
 	index := ruleIndex{}
 	for _, r := range c.GetRules() {
--- a/sidecar/peer_poller.go
+++ b/sidecar/peer_poller.go
@@ -236,7 +236,7 @@
 }
 
 // isReader reports whether the sidecar beside a server address is a reader. Readers are the first hosts in order of a hash of
-// their server's address.
+// their server's address. Servers of services that the configuration doesn't name don't count: there may be no host at their address.
 func isReader(t *mesh.Table, localAddress string) bool {
 	type host struct {
 		address string
@@ -244,7 +244,7 @@
 	}
 	var hosts []host
 	for _, v := range t.Servers {
-		if !v.GetGone() {
+		if !v.GetGone() && t.Names(v.GetService()) {
 			hosts = append(hosts, host{v.GetAddress(), xxhash.Sum64String(v.GetAddress())})
 		}
 	}
--- a/sidecar/peer_poller_test.go
+++ b/sidecar/peer_poller_test.go
@@ -1,12 +1,17 @@
 package sidecar
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/mesh"
+	"github.com/jaypitch/jaypitch/schema"
 )
 
 // TestFewSidecarsRequestDuringOutage guards against a fleet that overloads a store that is down with requests.
@@ -43,3 +48,26 @@
 		})
 	}
 }
+
+// TestOddEntriesReplaceReaders guards against entries of another writer that take the places of the readers, so that nobody watches the store.
+func TestOddEntriesReplaceReaders(t *testing.T) {
+	is := is.New(t)
+	c := &schema.MeshConfig{Version: 1, Services: []string{"x"}}
+	u := jaypitch.MeshUpdate{Full: true, Revision: 9, Config: c}
+	for i := range 300 {
+		service := "x"
+		if i >= 6 {
+			service = "unnamed"
+		}
+		u.Servers = append(u.Servers, &schema.MeshServer{Id: fmt.Sprint(i), Service: service, Address: fmt.Sprintf("10.0.%d.%d:80", i/100, i%100), Slots: 1, Revision: int64(i + 1)})
+	}
+	r := mesh.NewReplica()
+	r.Merge(u, time.Now())
+	readers := 0
+	for i := range 6 {
+		if isReader(r.Table(), u.Servers[i].GetAddress()) {
+			readers++
+		}
+	}
+	is.Equal(readers, readerCount)
+}
