Long requests leave room for short urgent ones and for calls

Cause: every queued request counted against every arrival. Urgent requests start before queued statements, but were refused because of them; and slots in statements were free too rarely for kinds that can wait for 100 to 180 ms.

Change: an arrival is refused at random by the queue time of what starts before it or is at least as urgent; less urgent requests count at most as long as itself. A kind that is long for a more urgent one leaves as many slots as the more urgent kinds keep in use.

--- a/admit/slots.go
+++ b/admit/slots.go
@@ -24,7 +24,8 @@
 }
 
 // Slots assigns the slots of one backend server, and keeps to the rate limit that the server names. The request with the earliest target
-// deadline goes first, and a request that can't complete by its deadline doesn't start. Once the queue has not been empty for a while, requests are refused at random, with a probability that grows with
+// deadline goes first, and a request that can't complete by its deadline doesn't start. Long requests leave the slots free that more urgent ones
+// need. Once the queue has not been empty for a while, requests are refused at random, with a probability that grows with
 // the queue and is somewhat higher for less urgent ranks. It isn't safe for concurrent use.
 type Slots struct {
 	size       int
@@ -38,6 +39,9 @@
 	pacer Pacer
 	// lastEmpty is when a request last arrived at an empty queue.
 	lastEmpty time.Time
+	// reservations are those at reservedAt, which is zero if they have to be computed again; see reservationsAt.
+	reservations []reservation
+	reservedAt   time.Time
 }
 
 // ruleStats describes the requests of one rule.
@@ -47,6 +51,9 @@
 	meanServiceUS float64
 	// target is the time from the arrival of the rule's latest request to its target deadline.
 	target time.Duration
+	// load is the number of slots that the rule's arrivals keep in use, a moving average over about loadTime, as it was at loadAt.
+	load   float64
+	loadAt time.Time
 }
 
 const (
@@ -125,7 +132,7 @@
 	if len(s.queue) == 0 {
 		s.lastEmpty = now
 	}
-	free := s.free(now) && len(s.queue) == 0
+	free := s.free(now) && s.nextIndex(now) < 0 && s.mayStart(w.Rule, now)
 	queueTime := time.Duration(0)
 	if !free {
 		queueTime = s.ExpectedQueueTime(w, now)
@@ -169,8 +176,11 @@
 		}
 		return late
 	})
-	for s.free(now) && len(s.queue) > 0 {
+	for s.free(now) {
 		i := s.nextIndex(now)
+		if i < 0 {
+			break
+		}
 		w := s.queue[i]
 		s.queue = slices.Delete(s.queue, i, i+1)
 		s.start(w, now)
@@ -206,7 +216,7 @@
 			before++
 		}
 	}
-	return time.Duration(work/float64(s.size)) * time.Microsecond, s.pacer.Wait(before+1, now)
+	return time.Duration(work/float64(s.slotsFor(w.Rule, now))) * time.Microsecond, s.pacer.Wait(before+1, now)
 }
 
 // RetryAfter estimates after how long a refused request would complete by its target deadline. If the rate limit refused it, that is when
@@ -271,6 +281,8 @@
 		s.rules[w.Rule] = r
 	}
 	r.rank, r.target = w.Rank, w.TargetDeadline.Sub(w.arrived)
+	r.addLoad(s.MeanServiceTime(w.Rule), w.arrived)
+	s.reservedAt = time.Time{}
 }
 
 // overloaded refuses a request that would complete after its deadline. Once the queue has not been empty for minStandingTime, or for the
@@ -286,7 +298,7 @@
 		return nil
 	}
 	limit := s.maxQueueTime(w)
-	backlog := s.backlog()
+	backlog := s.backlog(w, now)
 	if probability := (float64(backlog)/float64(limit) - refusalStart) / (1 - refusalStart); s.random() < probability {
 		return jaypitch.Errorf(code, "the queue has not been empty for %s and takes %s to empty; the limit is %s%s", now.Sub(s.lastEmpty), backlog, limit, limiting)
 	}
@@ -325,13 +337,24 @@
 	return max(r.target-scale(mean, targetMargin), mean/2)
 }
 
-// backlog is the time until all queued requests have started.
-func (s *Slots) backlog() time.Duration {
+// backlog is the queue time that decides whether a request is refused at random: that of the queued requests which start before it or are at
+// least as urgent. A less urgent one that starts later doesn't delay it, but counts as one more request like it, so that kinds of about the
+// same length are refused alike. It doesn't count if the slots that w needs are reserved.
+func (s *Slots) backlog(w *SlotRequest, now time.Time) time.Duration {
 	var sum time.Duration
-	for _, w := range s.queue {
-		sum += s.MeanServiceTime(w.Rule)
+	n := 0
+	for _, o := range s.queue {
+		mean := s.MeanServiceTime(o.Rule)
+		if o.Rank > w.Rank && !startsBefore(o, w, now) {
+			if s.slotsFor(o.Rule, now) < s.size {
+				continue
+			}
+			mean = min(mean, s.MeanServiceTime(w.Rule))
+		}
+		sum += mean
+		n++
 	}
-	return max(sum/time.Duration(s.size), time.Duration(len(s.queue))*s.pacer.Interval())
+	return max(sum/time.Duration(s.slotsFor(w.Rule, now)), time.Duration(n)*s.pacer.Interval())
 }
 
 // free reports whether a slot is free and the rate limit allows a request to start.
@@ -345,11 +368,11 @@
 	s.inProgress[w] = true
 }
 
-// nextIndex returns the index of the queued request that starts next.
+// nextIndex returns the index of the queued request that starts next; -1 if none may start.
 func (s *Slots) nextIndex(now time.Time) int {
-	first := 0
-	for i := range s.queue {
-		if startsBefore(s.queue[i], s.queue[first], now) {
+	first := -1
+	for i, w := range s.queue {
+		if (first < 0 || startsBefore(w, s.queue[first], now)) && s.mayStart(w.Rule, now) {
 			first = i
 		}
 	}
