A stop answers requests on connections that were just accepted

A client that connected just before a stopping sidecar closed its listeners, and sent its request just after, got a closed connection instead of an answer.

TestStopCutsAcceptedRequest fails without the change (unexpected EOF).

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -149,7 +149,7 @@
 	c.log.Info("started", zap.String("host", s.GetSidecar().GetHost()), zap.String("service", s.GetSidecar().GetService()),
 		zap.Uint64("process", c.process), zap.String("callers", s.GetListen().GetCallers()), zap.String("backend", s.GetSidecar().GetBackend()))
 	<-ctx.Done()
-	c.stop(servers)
+	c.stop(servers, listeners)
 	cancel()
 	c.wg.Wait()
 	c.log.Info("stopped", zap.Int64("requests_in_progress", c.handler.InProgress()))
@@ -157,33 +157,44 @@
 }
 
 // stop drains the sidecar and closes the listeners. The receiver refuses new requests; clients are served until minDrainTime is over
-// and no request is in progress, or the grace time ends.
-func (c *Sidecar) stop(servers []*http.Server) {
+// and no request is in progress, or the grace time ends. A request that arrives later, on a connection that was accepted before, is refused.
+func (c *Sidecar) stop(servers []*http.Server, l *listeners) {
 	began := c.now()
 	until := began.Add(micros(c.settings.Load().GetBounds().GetGraceUs()) - shutdownMargin)
 	c.endsAt.Store(&until)
 	c.stopping.Store(true)
 	c.receiver.Stop()
 	c.log.Info("stopping", zap.Int64("requests_in_progress", c.handler.InProgress()))
-	idleSince := began
-	for c.now().Before(until) {
+	c.awaitIdle(began.Add(minDrainTime), until)
+	drainedAt := c.now()
+	c.endsAt.Store(&drainedAt)
+	// http.Server.Shutdown drops requests that it has just read, so the listeners are closed first and it follows once no request comes any more.
+	_ = l.callers.Close()
+	_ = l.peers.Close()
+	c.awaitIdle(drainedAt, until)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin/2)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			c.log.Warn("closing a listener", zap.Error(err))
+		}
+	}
+}
+
+// awaitIdle waits until no request has been in progress for idleBeforeClose, at least until a time, and at most until another.
+func (c *Sidecar) awaitIdle(atLeast, atMost time.Time) {
+	idleSince := c.now()
+	for c.now().Before(atMost) {
 		time.Sleep(idleBeforeClose / 4)
 		now := c.now()
 		inProgress, queued, _ := c.receiver.Counts()
 		if c.handler.InProgress() > 0 || inProgress+queued > 0 {
 			idleSince = now
 		}
-		if now.Sub(began) > minDrainTime && now.Sub(idleSince) > idleBeforeClose {
+		if now.After(atLeast) && now.Sub(idleSince) > idleBeforeClose {
 			break
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin/2)
-	defer cancel()
-	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			c.log.Warn("closing a listener", zap.Error(err))
-		}
-	}
 }
 
 // merge merges an update into the replica, logs what changed and returns it.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -136,6 +138,16 @@
 	m.t.Cleanup(func() { cancel() })
 }
 
+func (m *testMesh) dial(address string) net.Conn {
+	m.t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
 // get sends a GET request to a listener of a host. It returns the status and the body, or 0 and the text of the error.
 func (m *testMesh) get(i, port int, path, id string) (int, string) {
 	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d%s", m.hosts[i].ip, m.ports[port], path), nil)
@@ -304,6 +316,35 @@
 	is.Equal(after, before)
 }
 
+// TestStopCutsAcceptedRequest guards against a request that is cut off without a response: its connection was accepted before the sidecar closed
+// its listeners, and it arrives afterwards.
+func TestStopCutsAcceptedRequest(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 12, 2)
+	h := m.hosts[0]
+	h.server.SetServiceTime(time.Second)
+	address := net.JoinHostPort(h.ip, strconv.Itoa(m.ports[portCallers]))
+	open := m.dial(address)
+	h.stop()
+	m.eventually("the listeners are closed", func() bool {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = c.Close()
+			_ = open.Close()
+			open = m.dial(address)
+		}
+		return err != nil
+	})
+	_, err := io.WriteString(open, "GET /one/a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: last\r\nX-Deadline-Ms: 1500\r\n\r\n")
+	is.NoErr(err)
+	a, err := http.ReadResponse(bufio.NewReader(open), nil)
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, a.Body)
+	is.NoErr(err)
+	is.Equal(a.StatusCode, http.StatusServiceUnavailable)
+	is.NoErr(<-h.done)
+}
+
 func TestBodyOverLimitIsRefused(t *testing.T) {
 	is := is.New(t)
 	m := newMesh(t, 6, 1)
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -112,6 +112,13 @@
 	s.behaviour = b
 }
 
+// SetServiceTime sets how long a request that arrives from now on occupies its slot.
+func (s *MeshServer) SetServiceTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serviceTime = d
+}
+
 // SetID changes the instance ID, as if another server had taken over the address.
 func (s *MeshServer) SetID(id string) {
 	s.mu.Lock()
