No slot goes to a request that misses its target while one waits that meets it

A queued request that could no longer end within its latency target, but whose target had not passed yet, started before one that still could; both were then late.

Change: requests that are expected to miss their target come after the others. TestSlotSpentOnLateRequest fails without the change.

--- a/admit/slots.go
+++ b/admit/slots.go
@@ -23,8 +23,8 @@
 	started time.Time
 }
 
-// Slots assigns the slots of one backend server, and keeps to the rate limit that the server names. The request with the earliest target
-// deadline goes first, and a request that can't complete by its deadline doesn't start. Long requests leave the slots free that more urgent ones
+// Slots assigns the slots of one backend server, and keeps to the rate limit that the server names. Of the requests that can still meet
+// their target, the one with the earliest target deadline goes first, and a request that can't complete by its deadline doesn't start. Long requests leave the slots free that more urgent ones
 // need. Once the queue has not been empty for a while, requests are refused at random, with a probability that grows with
 // the queue and is somewhat higher for less urgent ranks. It isn't safe for concurrent use.
 type Slots struct {
@@ -211,7 +211,7 @@
 	work := max(0, float64(ahead)) * s.meanServiceUS
 	before := 0
 	for _, o := range s.queue {
-		if startsBefore(o, w, now) {
+		if s.startsBefore(o, w, now) {
 			work += float64(s.MeanServiceTime(o.Rule).Microseconds())
 			before++
 		}
@@ -345,7 +345,7 @@
 	n := 0
 	for _, o := range s.queue {
 		mean := s.MeanServiceTime(o.Rule)
-		if o.Rank > w.Rank && !startsBefore(o, w, now) {
+		if o.Rank > w.Rank && !s.startsBefore(o, w, now) {
 			if s.slotsFor(o.Rule, now) < s.size {
 				continue
 			}
@@ -372,22 +372,26 @@
 func (s *Slots) nextIndex(now time.Time) int {
 	first := -1
 	for i, w := range s.queue {
-		if (first < 0 || startsBefore(w, s.queue[first], now)) && s.mayStart(w.Rule, now) {
+		if (first < 0 || s.startsBefore(w, s.queue[first], now)) && s.mayStart(w.Rule, now) {
 			first = i
 		}
 	}
 	return first
 }
 
-// startsBefore reports whether a starts before b. Requests whose target deadline has not passed come first, then the earlier target deadline.
-func startsBefore(a, b *SlotRequest, now time.Time) bool {
-	lateA, lateB := now.After(a.TargetDeadline), now.After(b.TargetDeadline)
-	if lateA != lateB {
+// startsBefore reports whether a starts before b: those that can still meet their target come first, then the earlier target deadline.
+func (s *Slots) startsBefore(a, b *SlotRequest, now time.Time) bool {
+	if lateA, lateB := s.late(a, now), s.late(b, now); lateA != lateB {
 		return lateB
 	}
 	return a.TargetDeadline.Before(b.TargetDeadline)
 }
 
+// late reports whether a request that starts now is expected to miss its target.
+func (s *Slots) late(w *SlotRequest, now time.Time) bool {
+	return now.Add(s.MeanServiceTime(w.Rule)).After(w.TargetDeadline)
+}
+
 // scale multiplies a duration by a factor.
 func scale(d time.Duration, by float64) time.Duration {
 	return time.Duration(float64(d) * by)
--- a/admit/slots_test.go
+++ b/admit/slots_test.go
@@ -85,6 +85,21 @@
 	}
 }
 
+// TestSlotSpentOnLateRequest guards against a slot for a request that can no longer meet its target while one waits that can.
+func TestSlotSpentOnLateRequest(t *testing.T) {
+	is := is.New(t)
+	s, inProgress := busySlots(t, 1, neverRefuse)
+	late := slotRequest("a", 1, slotsStart, 150*ms, 2*time.Second)
+	inTime := slotRequest("a", 1, slotsStart, 250*ms, 2*time.Second)
+	for _, w := range []*SlotRequest{late, inTime} {
+		_, e := s.Admit(w, slotsStart)
+		is.True(e == nil)
+	}
+	s.Finish(inProgress[0], 100*ms)
+	start, _ := s.Next(slotsStart.Add(100 * ms))
+	is.Equal(start, []*SlotRequest{inTime})
+}
+
 func TestSlotsRefuse(t *testing.T) {
 	t.Run("a request that can't complete by its deadline", func(t *testing.T) {
 		s, _ := busySlots(t, 1, neverRefuse)
