--- a/admit/admission.go
+++ b/admit/admission.go
@@ -25,12 +25,11 @@
 // gets at least the share of starts that its floor sets. The limit on requests in progress falls when the server sheds requests.
 // It isn't safe for concurrent use.
 type Admission struct {
-	slots          int
-	limit          float64
-	inProgress     int
-	ranks          []*queue
-	meanServiceUS  float64 // mean time that a request holds a slot, in microseconds
-	limitLoweredAt time.Time
+	slots         int
+	limit         float64
+	inProgress    int
+	ranks         []*queue
+	meanServiceUS float64 // mean time that a request holds a slot, in microseconds
 }
 
 // queue holds the queued requests of one rank.
@@ -122,12 +121,11 @@
 }
 
 // Finish releases the slot that a request of a rank held for a duration. Only served requests count towards the mean service times.
-func (a *Admission) Finish(rank string, o Outcome, held time.Duration, now time.Time) {
+func (a *Admission) Finish(rank string, o Outcome, held time.Duration) {
 	a.inProgress--
 	switch o {
 	case Shed:
 		a.limit = max(1, a.limit*shedFactor)
-		a.limitLoweredAt = now
 	case Served:
 		a.meanServiceUS += admissionMeanWeight * (float64(held.Microseconds()) - a.meanServiceUS)
 		if q := a.queue(rank); q != nil {
--- a/admit/admission_test.go
+++ b/admit/admission_test.go
@@ -45,7 +45,7 @@
 				}
 			}
 		}
-		a.Finish("urgent", Served, 5*time.Millisecond, start)
+		a.Finish("urgent", Served, 5*time.Millisecond)
 		next, _ := a.Next(start)
 		for _, t := range next {
 			started[t.Rank]++
@@ -124,11 +124,11 @@
 	is := is.New(t)
 	a := newAdmission(10)
 	_, _ = a.Admit(newRequest("urgent"), start)
-	a.Finish("urgent", Shed, time.Millisecond, start)
+	a.Finish("urgent", Shed, time.Millisecond)
 	is.Equal(a.Limit(), 8)
 	for range 100 {
 		_, _ = a.Admit(newRequest("urgent"), start)
-		a.Finish("urgent", Shed, time.Millisecond, start)
+		a.Finish("urgent", Shed, time.Millisecond)
 	}
 	is.Equal(a.Limit(), 1)
 	flood(a, []string{"urgent"}, 200)
@@ -143,7 +143,7 @@
 	soon.Deadline = start.Add(300 * time.Millisecond)
 	_, err := a.Admit(soon, start)
 	is.True(err == nil)
-	a.Finish("urgent", Served, 200*time.Millisecond, start.Add(200*time.Millisecond))
+	a.Finish("urgent", Served, 200*time.Millisecond)
 	started, expired := a.Next(start.Add(200 * time.Millisecond))
 	is.Equal(len(started), 0)
 	is.Equal(expired, []*AdmissionRequest{soon})
@@ -190,7 +190,7 @@
 				}
 			case 3:
 				if inProgress > 0 {
-					a.Finish("urgent", rapid.SampledFrom([]Outcome{Served, Failed, Shed}).Draw(t, "outcome"), time.Millisecond, now)
+					a.Finish("urgent", rapid.SampledFrom([]Outcome{Served, Failed, Shed}).Draw(t, "outcome"), time.Millisecond)
 					inProgress--
 				}
 				started, expired := a.Next(now)
--- a/backend/admitter.go
+++ b/backend/admitter.go
@@ -69,7 +69,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		now := a.now()
-		a.admission.Finish(s.rank, o, now.Sub(s.started), now)
+		a.admission.Finish(s.rank, o, now.Sub(s.started))
 		a.startQueued(now)
 	})
 }
--- a/cmd/jaypitch/cmd_drain.go
+++ b/cmd/jaypitch/cmd_drain.go
@@ -35,7 +35,9 @@
 				if time.Now().After(deadline) {
 					return jaypitch.Errorf(jaypitch.CodeOperator, "%d requests are still in progress after %s", s.RequestsRunning+s.RequestsQueued, o.timeout)
 				}
-				time.Sleep(drainPollInterval)
+				if err := jaypitch.Sleep(c.Context(), drainPollInterval); err != nil {
+					return jaypitch.Errorf(jaypitch.CodeOperator, "interrupted with %d requests in progress; draining continues", s.RequestsRunning+s.RequestsQueued)
+				}
 				if err := sendRequestJSON(c.Context(), o, http.MethodGet, "/status", nil, &s); err != nil {
 					return err
 				}
--- a/cmd/jaypitch/cmd_watch.go
+++ b/cmd/jaypitch/cmd_watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/operator"
 )
 
@@ -18,6 +19,9 @@
 		Short: "Print each change of the settings in force at a node",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if interval <= 0 {
+				return jaypitch.Errorf(jaypitch.CodeUsage, "--every is %s; allowed is a time over 0", interval)
+			}
 			seen := map[string]operator.DocumentStatus{}
 			t := time.NewTicker(interval)
 			defer t.Stop()
--- a/idempotency/response_cache.go
+++ b/idempotency/response_cache.go
@@ -131,7 +131,8 @@
 // refusal CodeAnswerNotKept. The entry of a first attempt that was not executed is removed: the attempt is sent only once, and a
 // repeat revokes the token and returns that it was not executed.
 func (c *ResponseCache) Complete(e *Entry, response *jaypitch.Response) {
-	if e.firstAttempt && response.Code.Info().Execution == jaypitch.NotExecuted {
+	removed := e.firstAttempt && response.Code.Info().Execution == jaypitch.NotExecuted
+	if removed {
 		delete(c.entries, e.token)
 	}
 	size := len(response.Body)
@@ -139,8 +140,10 @@
 		response = jaypitch.NewRefusal(jaypitch.CodeAnswerNotKept, "the response was too large to cache")
 		size = 0
 	}
-	e.size = size
-	c.bytes += size
+	if !removed {
+		e.size = size
+		c.bytes += size
+	}
 	e.Response = response
 	close(e.Done)
 }
--- a/idempotency/response_cache_test.go
+++ b/idempotency/response_cache_test.go
@@ -24,6 +24,18 @@
 	return &jaypitch.Response{Code: jaypitch.CodeOK, Body: []byte(body)}
 }
 
+// TestRemovedEntryCountsBytes guards against bodies of refusals, which aren't kept, that fill the cache for good.
+func TestRemovedEntryCountsBytes(t *testing.T) {
+	is := is.New(t)
+	c := NewResponseCache("h", 1, start, ttl, 4)
+	for i := range 300 {
+		e, err := c.Begin(Token{Host: "h", Process: 1, Nonce: uint64(i)}, start)
+		is.True(err == nil)
+		c.Complete(e, &jaypitch.Response{Code: jaypitch.CodeOverloaded, Body: make([]byte, maxResponseBytes)})
+	}
+	is.Equal(c.bytes, 0)
+}
+
 func TestResponseCache(t *testing.T) {
 	token := Token{Host: "h", Process: 1, Epoch: 0, Nonce: 7}
 	// Each step has an action and an argument. The argument of first and repeat is the expected result code, or "running" for an
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -169,7 +169,7 @@
 	select {
 	case e = <-w.Decision:
 	case <-ctx.Done():
-		e = jaypitch.Errorf(jaypitch.CodeDeadline, "the sender canceled the queued request")
+		e = jaypitch.Errorf(jaypitch.CodeCallerGone, "the sender canceled the queued request")
 	case <-t.C:
 		e = jaypitch.Errorf(jaypitch.CodeDeadline, "the deadline passed while the request was queued")
 	}
--- a/inbound/receiver_test.go
+++ b/inbound/receiver_test.go
@@ -211,7 +211,9 @@
 		time.Sleep(time.Millisecond)
 	}
 	cancelQueued()
-	is.Equal((<-second).Execution, jaypitch.NotExecuted)
+	canceled := <-second
+	is.Equal(canceled.Execution, jaypitch.NotExecuted)
+	is.Equal(canceled.Code, jaypitch.CodeCallerGone)
 	cancel()
 	is.Equal((<-first).Execution, jaypitch.ExecutionUnknown)
 	inProgress, queued, _ := g.receiver.Counts()
--- a/mesh/replica_test.go
+++ b/mesh/replica_test.go
@@ -197,6 +197,29 @@
 	is.Equal(s.Table().Match("H:80", "/a/b/").GetName(), "/a/b/")
 }
 
+// TestRuleWithoutDestinationPanics guards against a rule from another sidecar that has no destinations.
+func TestRuleWithoutDestinationPanics(t *testing.T) {
+	is := is.New(t)
+	c := config(1, "/p/")
+	c.Rules[0].Parts = nil
+	s := NewReplica()
+	s.Merge(jaypitch.MeshUpdate{Revision: 1, Config: c}, now)
+	is.Equal(s.Table().Match("h", "/p/q").Destination(0.5), "")
+}
+
+// TestMatchCutsHost guards against a Host header that is cut within an IPv6 address.
+func TestMatchCutsHost(t *testing.T) {
+	is := is.New(t)
+	s := NewReplica()
+	c := config(1, "/p/")
+	c.Rules[0].Host = "fd00::7"
+	s.Merge(jaypitch.MeshUpdate{Revision: 1, Config: c}, now)
+	for _, host := range []string{"[fd00::7]:8080", "[fd00::7]", "[FD00::7]:8080"} {
+		is.True(s.Table().Match(host, "/p/q") != nil)
+	}
+	is.True(s.Table().Match("[fd00::8]:8080", "/p/q") == nil)
+}
+
 func TestDestinationFollowsWeights(t *testing.T) {
 	is := is.New(t)
 	r := newRule(&schema.MeshRule{Parts: []*schema.MeshPart{{Service: "x", Weight: 90}, {Service: "none", Weight: 0}, {Service: "y", Weight: 10}}})
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net"
 	"net/netip"
 	"slices"
 	"strings"
@@ -125,8 +126,7 @@
 	rules, ok := t.rules[host]
 	if !ok {
 		// The Host header may contain a port, and letters of either case.
-		name, _, _ := strings.Cut(host, ":")
-		rules = t.rules[strings.ToLower(name)]
+		rules = t.rules[strings.ToLower(withoutPort(host))]
 	}
 	for _, r := range rules {
 		if strings.HasPrefix(path, r.GetPrefix()) {
@@ -136,6 +136,14 @@
 	return nil
 }
 
+// withoutPort returns the name or IP address in a Host header, without its port.
+func withoutPort(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return strings.TrimSuffix(strings.TrimPrefix(host, "["), "]")
+}
+
 // HasRule reports whether the table has a rule with exactly this host and prefix, or any rule of the host if the prefix is empty.
 func (t *Table) HasRule(host, prefix string) bool {
 	for _, r := range t.rules[host] {
@@ -166,10 +174,14 @@
 	return out
 }
 
-// Destination chooses a service in proportion to the weights. draw is a random number of at least 0 and less than 1.
+// Destination chooses a service in proportion to the weights. draw is a random number of at least 0 and less than 1. The result is empty if the
+// rule has no destinations.
 func (r *Rule) Destination(draw float64) string {
 	parts := r.GetParts()
-	if len(parts) == 1 {
+	switch len(parts) {
+	case 0:
+		return ""
+	case 1:
 		return parts[0].GetService()
 	}
 	point := int64(draw * float64(r.cumulativeWeights[len(r.cumulativeWeights)-1]))
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -25,9 +25,8 @@
 	now        func() time.Time
 	record     func(Record)
 	tracker    *evidence.Tracker
-	bodyBytes  atomic.Int64
 	inProgress atomic.Int64
-	bodyBudget int64
+	bodyBudget bodyBudget
 
 	mu sync.Mutex
 	// draws holds the last draw of each rule.
@@ -65,19 +64,16 @@
 const (
 	// goldenRatio is the fractional part of the golden ratio. Adding it modulo 1 spreads consecutive draws evenly.
 	goldenRatio = 0.6180339887498949
-	// minBodyBytes is the size in bytes that a body is assumed to have at least before it is read, since its length may be unknown. The
-	// check of the body budget uses it.
-	minBodyBytes = 4 << 10
 	// noSettingsRetryAfter is sent while the sidecar has no confirmed configuration.
 	noSettingsRetryAfter = 300 * time.Millisecond
 )
 
-// NewHandler returns the handler of the listener for clients. BodyBudget bounds the bytes of request bodies in memory; tracker counts
+// NewHandler returns the handler of the listener for clients. BudgetBytes bounds the bytes of request bodies in memory; tracker counts
 // the requests in progress by rule. Record is called after each request.
-func NewHandler(d *Dispatcher, replica *mesh.Replica, names jaypitch.HeaderNames, localState func() LocalState, bodyBudget int64,
+func NewHandler(d *Dispatcher, replica *mesh.Replica, names jaypitch.HeaderNames, localState func() LocalState, budgetBytes int64,
 	tracker *evidence.Tracker, now func() time.Time, record func(Record)) *Handler {
 	return &Handler{dispatcher: d, replica: replica, names: names, localState: localState, now: now,
-		record: record, tracker: tracker, bodyBudget: bodyBudget, draws: map[string]float64{}}
+		record: record, tracker: tracker, bodyBudget: bodyBudget{limit: budgetBytes}, draws: map[string]float64{}}
 }
 
 // InProgress returns the number of requests in progress.
@@ -130,7 +126,7 @@
 	if e != nil {
 		return jaypitch.NotExecutedResponse(e.Code, "%s", e.Reason)
 	}
-	defer h.bodyBytes.Add(-int64(len(body)))
+	defer h.bodyBudget.release(len(body))
 	f := &jaypitch.MeshRequest{ID: rec.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: hop.EndToEndHeader(r.Header), Body: body,
 		Rule: rule.GetName(), Rank: rule.GetRank(), Idempotent: rule.GetIdempotent(), CallerService: local.Service}
 	h.setDeadlines(f, r, rule, arrived)
@@ -182,8 +178,8 @@
 	return next
 }
 
-// readBody reads a complete body and counts its bytes against the body budget. It refuses a body over the limit of the configuration, in
-// bytes, or over the budget. A limit of zero means no limit.
+// readBody reads a complete body and reserves its bytes in the body budget. It refuses a body over the limit of the configuration, in
+// bytes, or over the budget. A limit of zero means no limit. The caller releases the body.
 func (h *Handler) readBody(r *http.Request, limit int64) ([]byte, *jaypitch.Error) {
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -191,21 +187,27 @@
 	if limit > 0 && r.ContentLength > limit {
 		return nil, jaypitch.Errorf(jaypitch.CodeBodyTooLarge, "the body has %d bytes; at most %d are allowed", r.ContentLength, limit)
 	}
-	if h.bodyBytes.Load()+max(r.ContentLength, minBodyBytes) > h.bodyBudget {
-		return nil, jaypitch.Errorf(jaypitch.CodeTooManyCalls, "%d bytes of request bodies are in memory; the budget has no room for this one", h.bodyBytes.Load())
-	}
-	var in io.Reader = r.Body
+	in := &budgetedBody{budget: &h.bodyBudget, reader: r.Body}
 	if limit > 0 {
-		in = io.LimitReader(in, limit+1)
+		in.reader = io.LimitReader(r.Body, limit+1)
+	}
+	// The last byte is for the read that finds the end of the body.
+	if !in.reserve(max(r.ContentLength, minBodyBytes) + 1) {
+		return nil, jaypitch.Errorf(jaypitch.CodeTooManyCalls, "%s", errBodyBudget)
 	}
 	body, err := io.ReadAll(in)
-	if err != nil {
+	in.settle()
+	switch {
+	case err == errBodyBudget:
+		h.bodyBudget.release(len(body))
+		return nil, jaypitch.Errorf(jaypitch.CodeTooManyCalls, "%s", err)
+	case err != nil:
+		h.bodyBudget.release(len(body))
 		return nil, jaypitch.Errorf(jaypitch.CodeBodyCut, "the body ended early: %s", err)
-	}
-	if limit > 0 && int64(len(body)) > limit {
+	case limit > 0 && int64(len(body)) > limit:
+		h.bodyBudget.release(len(body))
 		return nil, jaypitch.Errorf(jaypitch.CodeBodyTooLarge, "the body has more than the %d bytes allowed", limit)
 	}
-	h.bodyBytes.Add(int64(len(body)))
 	return body, nil
 }
 
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -335,7 +335,7 @@
 		}
 		return err != nil
 	})
-	_, err := io.WriteString(open, "GET /one/a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: last\r\nX-Deadline-Ms: 1500\r\n\r\n")
+	_, err := fmt.Fprintf(open, "GET /one/a HTTP/1.1\r\nHost: h\r\n%s: last\r\n%s: 1500\r\n\r\n", platform.HeaderNames.RequestID, platform.HeaderNames.TimeLeftMS)
 	is.NoErr(err)
 	a, err := http.ReadResponse(bufio.NewReader(open), nil)
 	is.NoErr(err)
