Most sidecars get the store's state from each other when all start at once

What operators saw: on the large deployment a start of 295 sidecars read every page of the store for each of them, six requests a sidecar, and again after all lost power; store requests are the second largest price there.

Change: a sidecar that holds nothing reads the first page. Three of the hosts on it, the same for all, read on; the others poll hosts of the page until they hold a state that the store confirmed within 1.1 s, and read all by themselves after a random time between 0.5 and 1.5 s if none comes. A sidecar isn't ready, and refuses clients, until it holds the whole state. After a pause a sidecar watches from its position, which tells every change since, instead of reading all again.

--- a/admit/slots.go
+++ b/admit/slots.go
@@ -297,7 +297,7 @@
 	if now.Sub(s.lastEmpty) < max(minStandingTime, s.MeanServiceTime(w.Rule)) {
 		return nil
 	}
-	limit := s.maxQueueTime(w)
+	limit := s.maxQueueTime(w, now)
 	backlog := s.backlog(w, now)
 	if probability := (float64(backlog)/float64(limit) - refusalStart) / (1 - refusalStart); s.random() < probability {
 		return jaypitch.Errorf(code, "the queue has not been empty for %s and takes %s to empty; the limit is %s%s", now.Sub(s.lastEmpty), backlog, limit, limiting)
@@ -314,14 +314,18 @@
 	return jaypitch.CodeOverloaded, ""
 }
 
-// maxQueueTime is the longest queue time with which requests of the rule, and of rules of more urgent ranks, still meet their targets.
-func (s *Slots) maxQueueTime(w *SlotRequest) time.Duration {
+// maxQueueTime is the longest queue time with which requests of the rule, and of rules of more urgent ranks, still meet their targets. Requests
+// that leave slots to the more urgent ones don't delay those.
+func (s *Slots) maxQueueTime(w *SlotRequest, now time.Time) time.Duration {
 	limit := s.slack(w.Rule, s.rules[w.Rule])
+	leavesSlots := s.slotsFor(w.Rule, now) < s.size
 	urgent := false
 	for name, r := range s.rules {
 		if r.rank < w.Rank {
-			limit = min(limit, s.slack(name, r))
 			urgent = true
+			if !leavesSlots {
+				limit = min(limit, s.slack(name, r))
+			}
 		}
 	}
 	if urgent {
--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -97,7 +97,7 @@
 }
 
 func (m *meshAdapter) read(ctx context.Context) ([]string, int64, error) {
-	u, err := m.client.Read(ctx)
+	u, err := m.client.Read(ctx, func(jaypitch.MeshUpdate) bool { return true })
 	names, _ := serverIDs(u)
 	return names, u.Revision, err
 }
--- a/jaypitch.go
+++ b/jaypitch.go
@@ -117,8 +117,9 @@
 
 // MeshSource reads and watches the store of a mesh. It can't write.
 type MeshSource interface {
-	// Read returns everything that the store holds.
-	Read(ctx context.Context) (MeshUpdate, error)
+	// Read returns everything that the store holds. If that takes several requests, it calls proceed with the result of the first one. If
+	// proceed returns false, it ends, and returns that result: an update that isn't full and has no revision.
+	Read(ctx context.Context, proceed func(first MeshUpdate) bool) (MeshUpdate, error)
 	// Watch returns what changed after a revision. It waits for a change until the deadline. It returns ErrCompacted
 	// if the store no longer holds the history after the revision.
 	Watch(ctx context.Context, after int64, deadline time.Time) (MeshUpdate, error)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -127,7 +127,7 @@
 	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
 		outbound.WithNotices(p.DecodeNotice))
 	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, s.GetSidecar().GetMemoryMb()*megabyte/bodyMemoryDivisor, c.tracker, c.now, c.recordRequest)
-	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, triggered: make(chan struct{}, 1), now: c.now,
+	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, readsAlone: c.readsAlone, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
 	return c, nil
 }
@@ -233,6 +233,14 @@
 	return isReader(c.replica.Table(), c.settings.Load().GetSidecar().GetBackend())
 }
 
+// readsAlone reports whether this sidecar is one of the few that read all of the store when many start at the same time: the readers among the
+// hosts of the first page, which all of them get. The others get the state from them and from each other.
+func (c *Sidecar) readsAlone(first jaypitch.MeshUpdate) bool {
+	r := mesh.NewReplica()
+	r.Merge(first, c.now())
+	return isReader(r.Table(), c.settings.Load().GetSidecar().GetBackend())
+}
+
 // recordSender records the position that the sender of a request reports. remote is the sender's address.
 func (c *Sidecar) recordSender(remote string, p jaypitch.Position) {
 	if p.Compare(c.replica.Position()) > 0 {
@@ -242,7 +250,7 @@
 
 // localState returns the state of this process that the handler needs for each request.
 func (c *Sidecar) localState() outbound.LocalState {
-	o := outbound.LocalState{Service: c.settings.Load().GetSidecar().GetService(), Stopping: c.stopping.Load(), Unconfirmed: c.unconfirmedSince.Load() != nil}
+	o := outbound.LocalState{Service: c.settings.Load().GetSidecar().GetService(), Stopping: c.stopping.Load(), Unconfirmed: c.unconfirmedSince.Load() != nil || c.replica.Revision() == 0}
 	if at := c.endsAt.Load(); at != nil {
 		o.EndsAt = *at
 	}
@@ -252,7 +260,7 @@
 // ready reports whether the platform may send clients to this sidecar.
 func (c *Sidecar) ready() bool {
 	t := c.replica.Table()
-	return !c.stopping.Load() && t.Version > 0 && len(t.Services) > 0 && c.unconfirmedSince.Load() == nil
+	return !c.stopping.Load() && t.Version > 0 && len(t.Services) > 0 && c.replica.Revision() > 0 && c.unconfirmedSince.Load() == nil
 }
 
 // task runs one loop of the sidecar.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -233,7 +233,7 @@
 	m.store.Compact()
 	reader := m.hosts[3].sidecar
 	m.configure(2, "x", "/two/")
-	u, err := reader.watcher.source.Read(context.Background())
+	u, err := reader.watcher.source.Read(context.Background(), func(jaypitch.MeshUpdate) bool { return true })
 	is.NoErr(err)
 	m.store.SetFault(standin.StoreFault{Status: http.StatusServiceUnavailable})
 	reader.merge(u, "test")
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -25,6 +25,8 @@
 	// triggered makes a sidecar that isn't a reader send one request to the store.
 	triggered chan struct{}
 	now       func() time.Time
+	// readsAlone reports whether this sidecar, which holds nothing yet, is one of those that read all of the store, given the first page.
+	readsAlone func(first jaypitch.MeshUpdate) bool
 	// maxWait is the longest time that a reader's request waits for a change.
 	maxWait time.Duration
 	log     *zap.Logger
@@ -42,6 +44,9 @@
 	resyncRequested bool
 }
 
+// errFirstPage is returned by fetch after it merged only the first page of the store.
+var errFirstPage = errors.New("only the first page of the store was read")
+
 const (
 	// storeBatchDelay lets one request return changes that follow each other closely. A change has to be in force within 2 s.
 	storeBatchDelay = 150 * time.Millisecond
@@ -52,27 +57,42 @@
 	// longOutage is the duration of an outage of the store after which entries of live servers may have expired. It is half the
 	// time of three heartbeats.
 	longOutage = 2 * time.Second
+	// minPeersTime and maxPeersTime bound the random time that a sidecar which has read the first page waits for other sidecars to send it
+	// the rest. Those that read all need a few round trips to the store, and the others get the state from them within two or three polls.
+	minPeersTime = 500 * time.Millisecond
+	maxPeersTime = 1500 * time.Millisecond
+	// peersCheckInterval is how often it checks whether they did.
+	peersCheckInterval = 20 * time.Millisecond
 	// relistTime is the time within which live servers are listed again after an outage.
 	relistTime = 2 * time.Second
 )
 
-// run reads the full content of the store, then watches for changes: all the time as a reader, otherwise when triggered. It skips the
-// full read if that fails and peers have confirmed the replica within staleAge.
+// run reads the full content of the store, or gets it from other sidecars after the first page, then watches for changes: all the time as a reader,
+// otherwise when triggered. It skips the full read if that fails and peers have confirmed the replica within staleAge.
 func (w *watcher) run(ctx context.Context) {
 	full := true
+	alone := false // whether other sidecars didn't send the rest after the first page
+	resync := false
 	rereads := 0 // consecutive requests after which everything had to be read again
 	for ctx.Err() == nil {
 		reader := w.isReader()
-		if !full && !reader && !w.awaitTrigger(ctx) {
+		if !full && !reader && !resync && !w.awaitTrigger(ctx) {
 			continue
 		}
 		before := w.position()
-		err := w.fetch(ctx, full, reader)
+		err := w.fetch(ctx, full, alone, reader && !resync)
 		if ctx.Err() != nil {
 			return
 		}
+		if resync = w.takeResync(); resync {
+			continue
+		}
 		switch {
-		case w.takeResync(), errors.Is(err, jaypitch.ErrCompacted), errors.Is(err, jaypitch.ErrRestored):
+		case errors.Is(err, errFirstPage):
+			full = !w.awaitPeers(ctx)
+			alone = full
+			continue
+		case errors.Is(err, jaypitch.ErrCompacted), errors.Is(err, jaypitch.ErrRestored):
 			w.log.Info("reading everything again", zap.Int64("revision", before.Revision), zap.Error(err))
 			if rereads > 0 {
 				_ = jaypitch.Sleep(ctx, min(minRetryDelay<<min(rereads, 5), maxRetryDelay))
@@ -96,6 +116,18 @@
 	}
 }
 
+// awaitPeers waits until other sidecars have sent the state of the store, as it was within staleAge. It returns false if they don't.
+func (w *watcher) awaitPeers(ctx context.Context) bool {
+	until := w.now().Add(minPeersTime + rand.N(maxPeersTime-minPeersTime))
+	for ctx.Err() == nil && w.now().Before(until) {
+		if w.position().Revision > 0 && w.confirmation.age() <= staleAge {
+			return true
+		}
+		_ = jaypitch.Sleep(ctx, peersCheckInterval)
+	}
+	return false
+}
+
 // awaitTrigger waits for a trigger. It returns false if the role has to be checked again.
 func (w *watcher) awaitTrigger(ctx context.Context) bool {
 	t := time.NewTimer(roleCheckInterval)
@@ -117,9 +149,10 @@
 	}
 }
 
-// fetch sends one request and merges the response. A reader's request waits for a change, for a random time between half of maxWait
-// and maxWait, so that the requests of the readers end at different times.
-func (w *watcher) fetch(ctx context.Context, full, reader bool) error {
+// fetch reads the store or watches it for changes, and merges the response. A watch that waits does so for a random time between half of maxWait
+// and maxWait, so that the requests of the readers end at different times. Without alone, a read of a sidecar that holds nothing yet may end after
+// the first page, with errFirstPage.
+func (w *watcher) fetch(ctx context.Context, full, alone, wait bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	requestedAt := w.now()
@@ -136,8 +169,10 @@
 	confirmedAt := requestedAt
 	switch {
 	case full:
-		u, err = w.source.Read(ctx)
-	case !reader:
+		u, err = w.source.Read(ctx, func(first jaypitch.MeshUpdate) bool {
+			return alone || held.Revision > 0 || w.readsAlone(first)
+		})
+	case !wait:
 		u, err = w.source.Watch(ctx, held.Revision, requestedAt)
 	default:
 		u, err = w.source.Watch(ctx, held.Revision, requestedAt.Add(w.maxWait/2+rand.N(w.maxWait/2)))
@@ -151,6 +186,9 @@
 	}
 	u.KeepMissingUntil = w.recordSuccess()
 	w.merge(u, fromStore)
+	if full && !u.Full {
+		return errFirstPage
+	}
 	w.confirmation.confirm(confirmedAt)
 	return nil
 }
@@ -192,7 +230,7 @@
 	_ = jaypitch.Sleep(ctx, delay/2+rand.N(delay))
 }
 
-// resync cancels the request in progress and requests a full read.
+// resync cancels the request in progress and requests one that doesn't wait for a change, to confirm the replica.
 func (w *watcher) resync() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -202,7 +240,7 @@
 	}
 }
 
-// takeResync reports whether a full read was requested, and clears the request.
+// takeResync reports whether a resync was requested, and clears the request.
 func (w *watcher) takeResync() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
