--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,10 @@
 # KNOWN_RED is a pattern of the tests that KNOWN-RED.txt lists.
 KNOWN_RED = $(shell sed -n 's/^test: \([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 
-.PHONY: build demo play test bench generate clean
+# TIME is how long make fuzz runs each fuzz test.
+TIME ?= 30s
+
+.PHONY: build demo play test fuzz bench generate clean
 
 build:
 	$(GO) build -o bin/jaypitch ./cmd/jaypitch
@@ -24,11 +27,17 @@
 test:
 	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "gofmt would change:"; echo "$$files"; exit 1; fi
 	$(GO) vet ./...
+	@for arch in amd64 arm64; do echo "GOARCH=$$arch $(GO) vet ./..."; GOARCH=$$arch $(GO) vet ./... || exit 1; done
 	$(GO) run $(STATICCHECK) ./...
 	$(GO) run $(REVIVE) -config revive.toml -set_exit_status -exclude schema/... ./...
 	@if [ -f KNOWN-RED.txt ]; then echo "not run, see KNOWN-RED.txt:"; cat KNOWN-RED.txt; fi
 	$(GO) test -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
+# Runs each fuzz test for TIME. What it finds is written to the package's testdata and belongs in a commit.
+fuzz:
+	@grep -rHo --include=*_test.go '^func Fuzz[A-Za-z]*' . | sed 's/:func / /' | while read -r file name; do \
+		echo "$$name in $$(dirname $$file)"; $(GO) test -run '^$$' -fuzz "^$$name$$" -fuzztime $(TIME) -parallel 2 "$$(dirname $$file)" || exit 1; done
+
 bench: build
 	bin/bench -jaypitch bin/jaypitch -standin bin/standin
 
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -74,3 +74,22 @@
 		is.Equal(e.Code, jaypitch.CodeNoLines)
 	})
 }
+
+// FuzzExplain guards against log lines that end the command: the files of a log collector may hold anything.
+func FuzzExplain(f *testing.F) {
+	f.Add(refused, "one")
+	f.Add(probeFailed, "two")
+	f.Add(change, "three")
+	f.Fuzz(func(t *testing.T, text, id string) {
+		lines, err := Read(strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		for _, l := range lines {
+			_ = l.Summary()
+		}
+		if s, e := Explain(lines, id); (s == nil) == (e == nil) {
+			t.Fatal("both or neither of an explanation and an error")
+		}
+	})
+}
