A truncated response looks truncated to clients of HTTP/1.0 too

A response without a length ends with its connection in HTTP/1.0. When a long one broke off, its client saw the regular end: a complete success.

Change: the connection of such a client is reset.

--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -100,6 +100,9 @@
 	rec.Overhead = rec.Took - response.ServiceTime
 	h.record(rec)
 	if err != nil || response.Code == jaypitch.CodeCallerGone || response.Code == jaypitch.CodeBodyCut {
+		if !r.ProtoAtLeast(1, 1) {
+			resetOnClose(r.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/outbound/limits.go
+++ b/outbound/limits.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -26,6 +27,9 @@
 	phase phase
 }
 
+// connKey is the key of the client's connection in the context of its requests.
+type connKey struct{}
+
 // phase is what the next read deadline of the HTTP server is for.
 type phase int
 
@@ -46,7 +50,20 @@
 
 // NewServer returns the HTTP server for clients. Its listener has to come from NewListener.
 func NewServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeadBytes, ConnState: recordIdle}
+	return &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeadBytes, ConnState: recordIdle,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+}
+
+// resetOnClose makes the close of a request's connection a reset, so that a client of HTTP/1.0 doesn't take the end of a truncated response, which has
+// no length, for its regular end.
+func resetOnClose(ctx context.Context) {
+	c, ok := ctx.Value(connKey{}).(*limitedConn)
+	if !ok {
+		return
+	}
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only if the connection is closed already
+	}
 }
 
 // NewListener returns a listener for NewServer, whose time limits follow the replica's configuration.
