A refusal of a server doesn't cost its connection

Cause: the body of a refusal isn't read, and closing an unread body closed the connection, also if all of it had arrived, or there was none.

Change: closing a response reads what has arrived, and keeps the connection if that was the rest. TestRefusalClosesConnection fails without the change (4 connections instead of 1).

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -63,7 +63,9 @@
 	writer *bodyWriter
 	// usableUntil is the time until which the connection may be reused after the response; zero if it may not.
 	usableUntil time.Time
-	ended       bool
+	// unread is the number of bytes of the body that weren't read; negative if its length is unknown.
+	unread int64
+	ended  bool
 }
 
 // bodyWriter sends a long body in a goroutine, since the server may respond before it has read the whole body.
@@ -110,7 +112,7 @@
 		}
 		return nil, &Error{Sent: !x.awaitingContinue, Err: err}
 	}
-	b := &responseBody{ReadCloser: a.Body, conn: c, pool: p, stop: stop, writer: x.writer}
+	b := &responseBody{ReadCloser: a.Body, conn: c, pool: p, stop: stop, writer: x.writer, unread: a.ContentLength}
 	if !x.awaitingContinue && !x.skipped {
 		b.usableUntil = p.usableUntil(a)
 	}
@@ -239,14 +241,19 @@
 // Read reads from the body. At the end of the body it releases the connection.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.unread -= int64(n)
 	if err != nil {
 		b.end(err == io.EOF)
 	}
 	return n, err
 }
 
-// Close discards the rest of the response and closes the connection, unless Read has released it already.
+// Close discards the rest of the response, unless Read has released the connection already. It closes the connection, unless all of the rest has
+// arrived.
 func (b *responseBody) Close() error {
+	if !b.ended && b.unread >= 0 && b.unread <= int64(b.conn.reader.Buffered()) {
+		_, _ = io.Copy(io.Discard, b) // an error only means that the connection can't be used again
+	}
 	b.end(false)
 	return nil
 }
--- a/inbound/stray_test.go
+++ b/inbound/stray_test.go
@@ -47,6 +47,18 @@
 	assertNextOnNewConnection(t, g)
 }
 
+// TestRefusalClosesConnection guards against a new connection for each request that a full server refuses, which costs it more than the refusal.
+func TestRefusalClosesConnection(t *testing.T) {
+	is := is.New(t)
+	g := newFixture(t, 4)
+	for _, b := range []standin.Behaviour{standin.Shedding, standin.Normal, standin.Shedding, standin.Shedding, standin.Normal} {
+		g.server.SetBehaviour(b)
+		r := g.receiver.Serve(context.Background(), newRequest("id", ""))
+		is.Equal(r.Execution == jaypitch.NotExecuted, b == standin.Shedding)
+	}
+	is.Equal(g.server.Connections(), 1)
+}
+
 // assertNextOnNewConnection checks that the next request gets its own response, on a new connection.
 func assertNextOnNewConnection(t *testing.T, g *fixture) {
 	t.Helper()
