A first start doesn't request the store again for each server

When a whole mesh starts for the first time, no server has registered. Every sidecar then knew of fewer hosts than there are readers, so all watched the store, and each got every registration by a request of its own: 249 watches of 81 sidecars in two seconds.

Change: a sidecar without seeds reads the store after 1.5 s, and while fewer hosts are known than readers it leaves 0.6 s between requests; a trigger that came while a sidecar waited for its first state is dropped.

--- a/sidecar/start_test.go
+++ b/sidecar/start_test.go
@@ -23,6 +23,9 @@
 type startStore struct {
 	servers []*schema.MeshServer
 	refuses func(host int) bool
+	// registersAt is when the first server registers, registersEvery the time until the next one does. Both are zero if all have registered.
+	registersAt    time.Time
+	registersEvery time.Duration
 
 	mu       sync.Mutex
 	requests int
@@ -70,9 +73,18 @@
 	return ctx.Err()
 }
 
+// registered returns the servers that have registered.
+func (s *startStore) registered() []*schema.MeshServer {
+	if s.registersEvery == 0 {
+		return s.servers
+	}
+	n := 1 + int(time.Since(s.registersAt)/s.registersEvery)
+	return s.servers[:max(0, min(n, len(s.servers)))]
+}
+
 // Read returns the servers in pages.
 func (s *startSource) Read(ctx context.Context, proceed func(jaypitch.MeshUpdate) bool) (jaypitch.MeshUpdate, error) {
-	all := s.store.servers
+	all := s.store.registered()
 	for n := startPage; ; n += startPage {
 		if err := s.request(ctx); err != nil {
 			return jaypitch.MeshUpdate{}, err
@@ -80,7 +92,7 @@
 		u := jaypitch.MeshUpdate{Config: &schema.MeshConfig{Version: 1}, Servers: all[:min(n, len(all))]}
 		switch {
 		case n >= len(all):
-			u.Full, u.Revision = true, int64(len(all))
+			u.Full, u.Revision = true, 1+int64(len(all))
 			return u, nil
 		case n == startPage && !proceed(u):
 			return u, nil
@@ -88,19 +100,25 @@
 	}
 }
 
-// Watch waits for a change; there is none.
+// Watch waits until another server has registered.
 func (s *startSource) Watch(ctx context.Context, after int64, deadline time.Time) (jaypitch.MeshUpdate, error) {
 	if err := s.request(ctx); err != nil {
 		return jaypitch.MeshUpdate{}, err
 	}
-	return jaypitch.MeshUpdate{Revision: after}, jaypitch.Sleep(ctx, time.Until(deadline))
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if all := s.store.registered(); 1+int64(len(all)) > after {
+			return jaypitch.MeshUpdate{Revision: 1 + int64(len(all)), Servers: all[after-1:]}, nil
+		}
+		_ = jaypitch.Sleep(ctx, startResponse)
+	}
+	return jaypitch.MeshUpdate{Revision: after}, ctx.Err()
 }
 
 func newStartFleet(hosts int, refuses func(host int) bool) *startFleet {
 	f := &startFleet{store: &startStore{refuses: refuses}, hosts: map[string]*startHost{}}
 	for i := range hosts {
 		address := fmt.Sprintf("10.0.%d.%d:80", i/100, i%100)
-		f.store.servers = append(f.store.servers, &schema.MeshServer{Id: fmt.Sprintf("i-%04d", i), Service: "x", Address: address, Slots: 1, Revision: int64(i + 1)})
+		f.store.servers = append(f.store.servers, &schema.MeshServer{Id: fmt.Sprintf("i-%04d", i), Service: "x", Address: address, Slots: 1, Revision: int64(i + 2)})
 	}
 	for i, v := range f.store.servers {
 		h := &startHost{fleet: f, address: v.GetAddress(), replica: mesh.NewReplica(), confirmation: &confirmation{now: time.Now}}
@@ -108,7 +126,7 @@
 		c := &Sidecar{now: time.Now, replica: h.replica}
 		c.settings.Store(&schema.SidecarSettings{Sidecar: &schema.SidecarSection{Backend: h.address}})
 		h.watcher = &watcher{source: &startSource{store: f.store, host: i}, merge: h.merge, position: h.replica.Position, confirmation: h.confirmation,
-			isReader: c.isReader, readsAlone: c.readsAlone, triggered: make(chan struct{}, 1), now: time.Now, maxWait: 10 * time.Second, log: zap.NewNop()}
+			isReader: c.isReader, seeded: func() bool { return true }, starting: c.starting, readsAlone: c.readsAlone, triggered: make(chan struct{}, 1), now: time.Now, maxWait: 10 * time.Second, log: zap.NewNop()}
 	}
 	return f
 }
@@ -203,3 +221,21 @@
 		})
 	}
 }
+
+// TestFirstStartWatchesForEachServer guards against sidecars that all start before any server has registered, and request the store again for each
+// server that does.
+func TestFirstStartWatchesForEachServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const hosts = 100
+		f := newStartFleet(hosts, func(int) bool { return false })
+		f.store.registersAt = time.Now().Add(900 * time.Millisecond)
+		f.store.registersEvery = 12 * time.Millisecond
+		for _, h := range f.hosts {
+			h.watcher.seeded = func() bool { return false }
+		}
+		requests, last := f.start(startTime + 2*time.Second)
+		t.Logf("%d requests, last host after %s", requests, last)
+		is.True(requests <= 2*hosts)
+	})
+}
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -22,6 +22,10 @@
 	confirmation *confirmation
 	// isReader reports whether this sidecar watches the store.
 	isReader func() bool
+	// seeded reports whether the settings name other hosts to get the state from.
+	seeded func() bool
+	// starting reports whether fewer hosts are known than there are readers.
+	starting func() bool
 	// triggered makes a sidecar that isn't a reader send one request to the store.
 	triggered chan struct{}
 	now       func() time.Time
@@ -50,6 +54,9 @@
 const (
 	// storeBatchDelay lets one request return changes that follow each other closely. A change has to be in force within 2 s.
 	storeBatchDelay = 150 * time.Millisecond
+	// startBatchDelay takes its place while fewer hosts are known than there are readers, so that every sidecar watches: the hosts of a mesh that
+	// starts register within less than that.
+	startBatchDelay = 600 * time.Millisecond
 	// roleCheckInterval is how often a sidecar that isn't a reader checks whether it has become one.
 	roleCheckInterval = 500 * time.Millisecond
 	minRetryDelay     = 100 * time.Millisecond
@@ -57,6 +64,9 @@
 	// longOutage is the duration of an outage of the store after which entries of live servers may have expired. It is half the
 	// time of three heartbeats.
 	longOutage = 2 * time.Second
+	// startDelay is how long a sidecar without seeds waits before it reads the store: it starts together with the whole mesh, whose servers need
+	// about a second to register. Earlier reads would have to be repeated. It leaves time to be ready within two seconds.
+	startDelay = 1500 * time.Millisecond
 	// minPeersTime and maxPeersTime bound the random time that a sidecar which has read the first page waits for other sidecars to send it
 	// the rest. Those that read all need a few round trips to the store, and the others get the state from them within two or three polls.
 	minPeersTime = 500 * time.Millisecond
@@ -74,6 +84,9 @@
 	alone := false // whether other sidecars didn't send the rest after the first page
 	resync := false
 	rereads := 0 // consecutive requests after which everything had to be read again
+	if !w.seeded() {
+		_ = jaypitch.Sleep(ctx, startDelay)
+	}
 	for ctx.Err() == nil {
 		reader := w.isReader()
 		if !full && !reader && !resync && !w.awaitTrigger(ctx) {
@@ -111,7 +124,7 @@
 		}
 		full = false
 		if w.position() != before {
-			_ = jaypitch.Sleep(ctx, storeBatchDelay)
+			_ = jaypitch.Sleep(ctx, w.batchDelay())
 		}
 	}
 }
@@ -121,6 +134,7 @@
 	until := w.now().Add(minPeersTime + rand.N(maxPeersTime-minPeersTime))
 	for ctx.Err() == nil && w.now().Before(until) {
 		if w.position().Revision > 0 && w.confirmation.age() <= staleAge {
+			w.clearTrigger()
 			return true
 		}
 		_ = jaypitch.Sleep(ctx, peersCheckInterval)
@@ -149,6 +163,22 @@
 	}
 }
 
+// clearTrigger drops a trigger that a confirmation since then has made needless.
+func (w *watcher) clearTrigger() {
+	select {
+	case <-w.triggered:
+	default:
+	}
+}
+
+// batchDelay returns the time until the next request after one that brought changes.
+func (w *watcher) batchDelay() time.Duration {
+	if w.starting() {
+		return startBatchDelay
+	}
+	return storeBatchDelay
+}
+
 // fetch reads the store or watches it for changes, and merges the response. A watch that waits does so for a random time between half of maxWait
 // and maxWait, so that the requests of the readers end at different times. Without alone, a read of a sidecar that holds nothing yet may end after
 // the first page, with errFirstPage.
