A node's stop answers requests on connections that were just accepted

The same as in a sidecar: http.Server.Shutdown drops a request that it has just read, so a client that connected just before a stopping node closed its listeners got a closed connection instead of 503.

Change: the listeners are closed first, and the servers are shut down after a second time without requests.

--- a/node/node.go
+++ b/node/node.go
@@ -125,6 +125,10 @@
 	n.peerServer.AnnounceLeave(loopCtx, n.senderAddresses())
 	<-n.lifecycle.drained
 	n.linger()
+	// http.Server.Shutdown drops requests that it has just read, so the listeners are closed first and it follows once no request comes any more.
+	_ = listeners.caller.Close()
+	_ = listeners.peer.Close()
+	n.linger()
 	n.log.Info("all requests in progress have ended")
 	cancel()
 	shutdown(servers)
@@ -133,7 +137,7 @@
 }
 
 // linger waits until no request of a client arrives for lingerInterval, at most for lingerTimeout. Such requests are refused meanwhile,
-// so that few connections are closed while a client sends a request.
+// so that no connection is closed while a client sends a request.
 func (n *Node) linger() {
 	deadline := n.now().Add(lingerTimeout)
 	for received := n.handler.Received(); n.now().Before(deadline); {
