--- a/admit/slots.go
+++ b/admit/slots.go
@@ -24,9 +24,10 @@
 }
 
 // Slots assigns the slots of one backend server, and keeps to the rate limit that the server names. Of the requests that can still meet
-// their target, the one with the earliest target deadline goes first, and a request that can't complete by its deadline doesn't start. Long requests leave the slots free that more urgent ones
-// need. Once the queue has not been empty for a while, requests are refused at random, with a probability that grows with
-// the queue and is somewhat higher for less urgent ranks. It isn't safe for concurrent use.
+// their target, the one with the earliest target deadline goes first, and a request that can't complete by its deadline doesn't start.
+// Long requests leave the slots free that more urgent ones need; see slotsFor. Once the queue has not been empty for a while, requests are
+// refused at random, with a probability that grows with the queue and is somewhat higher for less urgent ranks. It isn't safe for
+// concurrent use.
 type Slots struct {
 	size       int
 	inProgress map[*SlotRequest]bool
