Long requests keep a third of the slots

Change: a third of the slots is always open to long requests. TestLongRequestsStarve fails with a sixth (0.126 of the long requests served; 0.193 wanted, a quarter of the share of all).

--- a/admit/load_test.go
+++ b/admit/load_test.go
@@ -220,6 +220,22 @@
 	}
 }
 
+// TestLongRequestsStarve replays a service whose urgent kinds alone need all of the room. The long ones are still served at least a quarter as often
+// as all requests, which is what the operators ask of each kind.
+func TestLongRequestsStarve(t *testing.T) {
+	counts := replayLoad(6, time.Minute,
+		loadKind{rule: "charge", service: "ledger", rank: 0, mean: 94 * ms, target: 300 * ms, timeout: 800 * ms, perSecond: 24},
+		loadKind{rule: "balance", service: "ledger", rank: 1, mean: 40 * ms, target: 150 * ms, timeout: 500 * ms, perSecond: 95},
+		loadKind{rule: "statement", service: "ledger", rank: 2, mean: 540 * ms, target: 2 * time.Second, timeout: 5 * time.Second, perSecond: 12})
+	all := &loadCount{}
+	for _, c := range counts {
+		all.asked, all.onTarget, all.late = all.asked+c.asked, all.onTarget+c.onTarget, all.late+c.late
+	}
+	if got, want := counts["statement"].servedShare(), all.servedShare()/4; got < want {
+		t.Errorf("%.3f of the long requests were served, %+v; want %.3f, a quarter of the share of all", got, *counts["statement"], want)
+	}
+}
+
 // TestReserveKeepsSlotsEmpty guards against slots that stay reserved for urgent requests that no longer arrive.
 func TestReserveKeepsSlotsEmpty(t *testing.T) {
 	is := is.New(t)
--- a/admit/reserve.go
+++ b/admit/reserve.go
@@ -21,6 +21,8 @@
 	minLoad = 0.05
 	// longShare is the share of a rule's slack for which its requests may wait until a slot is free, while all slots hold less urgent requests.
 	longShare = 0.25
+	// minLongShare is the least share of the slots that requests which take long may use.
+	minLongShare = 1.0 / 3
 )
 
 // addLoad records the arrival of a request that would take a time.
@@ -50,7 +52,7 @@
 
 // slotsFor returns how many slots the requests of a rule may use: all of them, unless they are long for more urgent ones. If they held all slots,
 // a more urgent request would then wait for more than longShare of its slack until one is free. Requests that take long leave as many slots as the
-// more urgent rules keep in use.
+// more urgent rules keep in use, but never get less than minLongShare of all, so that they don't starve.
 func (s *Slots) slotsFor(rule string, now time.Time) int {
 	r := s.rules[rule]
 	if r == nil {
@@ -68,7 +70,7 @@
 	if !long {
 		return s.size
 	}
-	return max(1, s.size-int(math.Ceil(reserved)))
+	return max(int(math.Ceil(float64(s.size)*minLongShare)), s.size-int(math.Ceil(reserved)))
 }
 
 // mayStart reports whether the reservations leave a slot for a request of a rule.
