--- a/mesh/model_test.go
+++ b/mesh/model_test.go
@@ -250,7 +250,7 @@
 		}
 		f.Add(b)
 	}
-	f.Fuzz(func(t *testing.T, b []byte) {
+	f.Fuzz(func(_ *testing.T, b []byte) {
 		m := &schema.HeldResponse{}
 		if proto.Unmarshal(b, m) != nil {
 			return
