--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -41,7 +42,7 @@
 	Stopping bool
 	// EndsAt is when the process ends at the latest; zero if it isn't stopping. Requests with a later deadline are refused.
 	EndsAt time.Time
-	// Unconfirmed is true if the replica isn't confirmed and may be outdated. All requests are refused then.
+	// Unconfirmed is true if the replica isn't complete yet, or isn't confirmed and may be outdated. All requests are refused then.
 	Unconfirmed bool
 }
 
@@ -201,7 +202,7 @@
 	body, err := io.ReadAll(in)
 	in.settle()
 	switch {
-	case err == errBodyBudget:
+	case errors.Is(err, errBodyBudget):
 		h.bodyBudget.release(len(body))
 		return nil, jaypitch.Errorf(jaypitch.CodeTooManyCalls, "%s", err)
 	case err != nil:
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -127,7 +127,7 @@
 	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
 		outbound.WithNotices(p.DecodeNotice))
 	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, s.GetSidecar().GetMemoryMb()*megabyte/bodyMemoryDivisor, c.tracker, c.now, c.recordRequest)
-	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, seeded: c.seeded, starting: c.starting, readsAlone: c.readsAlone, triggered: make(chan struct{}, 1), now: c.now,
+	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, seeded: c.seeded, starting: c.starting, readsAllPages: c.readsAllPages, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
 	return c, nil
 }
@@ -233,6 +233,7 @@
 	return isReader(c.replica.Table(), c.settings.Load().GetSidecar().GetBackend())
 }
 
+// seeded reports whether the settings name other hosts to get the state from.
 func (c *Sidecar) seeded() bool {
 	return len(c.settings.Load().GetSidecar().GetSeeds()) > 0
 }
@@ -242,9 +243,9 @@
 	return c.replica.Table().HostCount() < readerCount
 }
 
-// readsAlone reports whether this sidecar is one of the few that read all of the store when many start at the same time: the readers among the
+// readsAllPages reports whether this sidecar is one of the few that read all of the store when many start at the same time: the readers among the
 // hosts of the first page, which all of them get. The others get the state from them and from each other.
-func (c *Sidecar) readsAlone(first jaypitch.MeshUpdate) bool {
+func (c *Sidecar) readsAllPages(first jaypitch.MeshUpdate) bool {
 	r := mesh.NewReplica()
 	r.Merge(first, c.now())
 	return isReader(r.Table(), c.settings.Load().GetSidecar().GetBackend())
--- a/sidecar/start_test.go
+++ b/sidecar/start_test.go
@@ -126,7 +126,7 @@
 		c := &Sidecar{now: time.Now, replica: h.replica}
 		c.settings.Store(&schema.SidecarSettings{Sidecar: &schema.SidecarSection{Backend: h.address}})
 		h.watcher = &watcher{source: &startSource{store: f.store, host: i}, merge: h.merge, position: h.replica.Position, confirmation: h.confirmation,
-			isReader: c.isReader, seeded: func() bool { return true }, starting: c.starting, readsAlone: c.readsAlone, triggered: make(chan struct{}, 1), now: time.Now, maxWait: 10 * time.Second, log: zap.NewNop()}
+			isReader: c.isReader, seeded: func() bool { return true }, starting: c.starting, readsAllPages: c.readsAllPages, triggered: make(chan struct{}, 1), now: time.Now, maxWait: 10 * time.Second, log: zap.NewNop()}
 	}
 	return f
 }
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -29,8 +29,8 @@
 	// triggered makes a sidecar that isn't a reader send one request to the store.
 	triggered chan struct{}
 	now       func() time.Time
-	// readsAlone reports whether this sidecar, which holds nothing yet, is one of those that read all of the store, given the first page.
-	readsAlone func(first jaypitch.MeshUpdate) bool
+	// readsAllPages reports whether this sidecar, which holds nothing yet, is one of those that read on after the first page.
+	readsAllPages func(first jaypitch.MeshUpdate) bool
 	// maxWait is the longest time that a reader's request waits for a change.
 	maxWait time.Duration
 	log     *zap.Logger
@@ -54,7 +54,7 @@
 const (
 	// storeBatchDelay lets one request return changes that follow each other closely. A change has to be in force within 2 s.
 	storeBatchDelay = 150 * time.Millisecond
-	// startBatchDelay takes its place while fewer hosts are known than there are readers, so that every sidecar watches: the hosts of a mesh that
+	// startBatchDelay takes the place of storeBatchDelay while fewer hosts are known than there are readers, so that every sidecar watches: the hosts of a mesh that
 	// starts register within less than that.
 	startBatchDelay = 600 * time.Millisecond
 	// roleCheckInterval is how often a sidecar that isn't a reader checks whether it has become one.
@@ -81,9 +81,9 @@
 // otherwise when triggered. It skips the full read if that fails and peers have confirmed the replica within staleAge.
 func (w *watcher) run(ctx context.Context) {
 	full := true
-	alone := false // whether other sidecars didn't send the rest after the first page
-	resync := false
-	rereads := 0 // consecutive requests after which everything had to be read again
+	allPages := false // whether a full read goes on after the first page, since other sidecars didn't send the rest
+	resync := false   // whether the next watch doesn't wait for a change, since the process was paused
+	rereads := 0      // consecutive requests after which everything had to be read again
 	if !w.seeded() {
 		_ = jaypitch.Sleep(ctx, startDelay)
 	}
@@ -93,7 +93,7 @@
 			continue
 		}
 		before := w.position()
-		err := w.fetch(ctx, full, alone, reader && !resync)
+		err := w.fetch(ctx, full, allPages, reader && !resync)
 		if ctx.Err() != nil {
 			return
 		}
@@ -103,7 +103,7 @@
 		switch {
 		case errors.Is(err, errFirstPage):
 			full = !w.awaitPeers(ctx)
-			alone = full
+			allPages = full
 			continue
 		case errors.Is(err, jaypitch.ErrCompacted), errors.Is(err, jaypitch.ErrRestored):
 			w.log.Info("reading everything again", zap.Int64("revision", before.Revision), zap.Error(err))
@@ -180,9 +180,9 @@
 }
 
 // fetch reads the store or watches it for changes, and merges the response. A watch that waits does so for a random time between half of maxWait
-// and maxWait, so that the requests of the readers end at different times. Without alone, a read of a sidecar that holds nothing yet may end after
-// the first page, with errFirstPage.
-func (w *watcher) fetch(ctx context.Context, full, alone, wait bool) error {
+// and maxWait, so that the requests of the readers end at different times. Without allPages, a read of a sidecar that holds nothing yet
+// may end after the first page, with errFirstPage.
+func (w *watcher) fetch(ctx context.Context, full, allPages, wait bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	requestedAt := w.now()
@@ -200,7 +200,7 @@
 	switch {
 	case full:
 		u, err = w.source.Read(ctx, func(first jaypitch.MeshUpdate) bool {
-			return alone || held.Revision > 0 || w.readsAlone(first)
+			return allPages || held.Revision > 0 || w.readsAllPages(first)
 		})
 	case !wait:
 		u, err = w.source.Watch(ctx, held.Revision, requestedAt)
