The fixture of the explain tests waits for readiness before it sends requests

Cause: the fixture sent clients' requests every 10 ms until one was served. A sidecar without seeds waits 1.5 s before it reads the store since, so some 140 requests were refused first, and their lines used up the budget of 40 lines and 20 a second; which of the burst's lines were left out depended on timing.

Change: the fixture waits on the readiness listener first. The checks of the tests are the same.

--- a/cmd/jaypitchd/explain_test.go
+++ b/cmd/jaypitchd/explain_test.go
@@ -47,6 +47,8 @@
 		}
 	}
 	m.RegisterServer(1, slots)
+	// Clients' requests to a sidecar that isn't ready are refused, and use up the lines that the test needs later.
+	eventually(t, "every sidecar is ready", func() bool { return m.AllRespond("ready", platform.ReadyPath, http.StatusOK) })
 	eventually(t, "every sidecar serves the rule", func() bool { return m.AllRespond("callers", "/one/a", http.StatusOK) })
 	return m
 }
