--- a/review/standin/cases/main.go
+++ b/review/standin/cases/main.go
@@ -18,6 +18,7 @@
 // cases holds the cases by name. A case reports whether the rule was broken.
 var cases = map[string]func(f *fleet.Fleet, trouble bool) (bool, error){
 	"memory":   memory,
+	"entries":  entries,
 	"answers":  answers,
 	"service":  service,
 	"stopping": stopping,
--- a/review/standin/cases/memory.go
+++ b/review/standin/cases/memory.go
@@ -19,7 +19,7 @@
 		slots     = 12
 		bodyBytes = 5_000_000
 		work      = 200 * time.Millisecond
-		slowX     = 4
+		slowX     = 5
 		slowFor   = 6500 * time.Millisecond
 		perSecond = 3 // uploads of each machine
 	)
--- a/review/standin/fleet/fleet.go
+++ b/review/standin/fleet/fleet.go
@@ -141,10 +141,11 @@
 		"status": map[string]any{"state": state, "seq": 1, "coldRemainingS": 0.0}})
 }
 
-// Drain makes the server report that it is draining.
-func (m *Machine) Drain(slots int) {
-	m.register("draining", slots)
-	m.fleet.Logf("server %s of %s on %s reports draining", m.Server.ID, m.Service, m.Name)
+// PutOddEntry writes an entry of another writer, which has the address and the service of the machine's server and lacks fields.
+func (m *Machine) PutOddEntry(id string) {
+	m.fleet.Store.Put("servers/"+id, map[string]any{"address": m.Address("app"), "info": map[string]any{"service": m.Service, "slots": 12},
+		"status": map[string]any{"state": "ready"}})
+	m.fleet.Logf("another writer puts entry %s with the address of server %s, without version, zone, seq and coldRemainingS", id, m.Server.ID)
 }
 
 // EndServer ends the server and removes its entry.
