--- a/review/standin/cases/stopping.go
+++ b/review/standin/cases/stopping.go
@@ -34,7 +34,9 @@
 			defer wg.Done()
 			c := fleet.NewConn(f.Machines[0].Address("outbound"))
 			defer c.Close()
-			c.Do(fleet.Request{Method: "GET", Host: fleet.Host, Path: "/lohu930/2f", ID: fmt.Sprintf("first-%d", k), Deadline: 2500 * time.Millisecond})
+			first := fleet.Request{Method: "GET", Host: fleet.Host, Path: "/lohu930/2f", ID: fmt.Sprintf("first-%d", k), Deadline: 2500 * time.Millisecond}
+			f.Logf("client sends %s to %s", first.ID, f.Machines[0].Name)
+			f.Logf("client of %s gets: %s", first.ID, c.Do(first))
 			q := fleet.Request{Method: "PUT", Host: fleet.Host, Path: "/pufi791/2f", ID: fmt.Sprintf("long-%d", k), Body: []byte("job"), Deadline: 12 * time.Second}
 			f.Logf("client sends %s to %s, kept connection %t", q.ID, f.Machines[0].Name, c.Kept())
 			a := c.Do(q)
