--- a/mesh/difference.go
+++ b/mesh/difference.go
@@ -11,7 +11,7 @@
 // rules, and everything else of the new version in Head.
 func Difference(from, to *schema.MeshConfig) *schema.MeshDifference {
 	d := &schema.MeshDifference{Base: from.GetVersion(), Head: &schema.MeshConfig{Version: to.GetVersion(), Revision: to.GetRevision(),
-		Limits: to.GetLimits(), Services: to.GetServices()}}
+		Limits: to.GetLimits(), Services: to.GetServices(), ServiceLimits: to.GetServiceLimits()}}
 	before := make(map[string]*schema.MeshRule, len(from.GetRules()))
 	for _, r := range from.GetRules() {
 		before[ruleKey(r)] = r
@@ -36,7 +36,7 @@
 			d.GetBase(), base.GetVersion())
 	}
 	h := d.GetHead()
-	out := &schema.MeshConfig{Version: h.GetVersion(), Revision: h.GetRevision(), Limits: h.GetLimits(), Services: h.GetServices()}
+	out := &schema.MeshConfig{Version: h.GetVersion(), Revision: h.GetRevision(), Limits: h.GetLimits(), Services: h.GetServices(), ServiceLimits: h.GetServiceLimits()}
 	changed := make(map[string]*schema.MeshRule, len(d.GetChanged()))
 	for _, r := range d.GetChanged() {
 		changed[ruleKey(r)] = r
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -21,6 +21,8 @@
 	// Servers holds all servers in use by ID, including draining ones.
 	Servers map[string]*schema.MeshServer
 
+	// serviceLimits holds what the servers of a service bear, by the service's name.
+	serviceLimits map[string]*schema.MeshServiceLimits
 	// named holds the services that the configuration names; nil without a configuration.
 	named map[string]bool
 	// leaving holds the IDs of the servers that stated that they are leaving.
@@ -65,11 +67,15 @@
 	return t
 }
 
-// nameServices records the services that the configuration names.
+// nameServices records the services that the configuration names, and their limits.
 func (t *Table) nameServices(c *schema.MeshConfig) {
 	if len(c.GetServices()) == 0 {
 		return
 	}
+	t.serviceLimits = make(map[string]*schema.MeshServiceLimits, len(c.GetServiceLimits()))
+	for _, l := range c.GetServiceLimits() {
+		t.serviceLimits[l.GetService()] = l
+	}
 	t.named = make(map[string]bool, len(c.GetServices()))
 	for _, name := range c.GetServices() {
 		t.named[name] = true
@@ -93,6 +99,11 @@
 	return t.named == nil || t.named[service]
 }
 
+// ServiceLimits returns what the servers of a service bear; nil if the configuration doesn't tell.
+func (t *Table) ServiceLimits(service string) *schema.MeshServiceLimits {
+	return t.serviceLimits[service]
+}
+
 func newRuleIndex(c *schema.MeshConfig) ruleIndex {
 	index := ruleIndex{}
 	for _, r := range c.GetRules() {
