Test sidecars with clients that keep no limits

scenario.Mesh gets additional lines for [sidecar], listener addresses and process IDs; the stand-in for the store gets client limits.

--- a/standin/store.go
+++ b/standin/store.go
@@ -28,6 +28,7 @@
 	requests int64
 	era      int64
 	pageSize int // items per page
+	limits   ClientLimits
 	mux      *http.ServeMux
 }
 
@@ -45,6 +46,16 @@
 	AppliesTo func(remote string) bool
 }
 
+// ClientLimits are the limits of a configuration for clients; zero means no limit.
+type ClientLimits struct {
+	HeadBytes, BodyBytes int64
+	// HeadS is the time for a head, IdleS the time between two requests, in seconds.
+	HeadS, IdleS float64
+}
+
+// defaultBodyBytes is the limit for bodies of a configuration whose limits aren't set.
+const defaultBodyBytes = 1000
+
 // ConfigKey is the key of the mesh configuration.
 const ConfigKey = "op/config"
 
@@ -66,7 +77,7 @@
 
 // NewStore returns a store that serves readsPerSecond requests per second and lists pageSize items at a time.
 func NewStore(readsPerSecond, pageSize int) *Store {
-	s := &Store{revision: 1, era: 1, items: map[string]storeItem{}, changed: make(chan struct{}), pageSize: pageSize,
+	s := &Store{revision: 1, era: 1, limits: ClientLimits{BodyBytes: defaultBodyBytes}, items: map[string]storeItem{}, changed: make(chan struct{}), pageSize: pageSize,
 		limiter: rate.NewLimiter(rate.Limit(readsPerSecond), readsPerSecond), mux: http.NewServeMux()}
 	s.mux.HandleFunc("GET /jaypitch/kv-key", s.key)
 	s.mux.HandleFunc("GET /jaypitch/kv-range", s.list)
@@ -79,15 +90,25 @@
 	return s.write(storeItem{Key: key, Value: value})
 }
 
+// SetClientLimits sets the limits of the configurations that PutConfig writes from now on.
+func (s *Store) SetClientLimits(l ClientLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+}
+
 // PutConfig writes a mesh configuration with one rule for each path prefix. The rules send requests with the host name to the service and
 // declare them idempotent.
 func (s *Store) PutConfig(version int, host, service string, prefixes ...string) int64 {
+	s.mu.Lock()
+	limits := map[string]any{"maxHeaderBytes": s.limits.HeadBytes, "maxBodyBytes": s.limits.BodyBytes, "headerTimeoutS": s.limits.HeadS, "idleTimeoutS": s.limits.IdleS}
+	s.mu.Unlock()
 	var rules []map[string]any
 	for _, p := range prefixes {
 		rules = append(rules, map[string]any{"name": p, "kind": "idempotent", "targetLatencyS": 0.5, "priority": 1, "match": map[string]any{"prefix": p},
 			"action": map[string]any{"service": service, "timeoutS": 2, "maxAttempts": 2}})
 	}
-	return s.putJSON(ConfigKey, map[string]any{"version": "r" + strconv.Itoa(version), "limits": map[string]any{"maxBodyBytes": 1000},
+	return s.putJSON(ConfigKey, map[string]any{"version": "r" + strconv.Itoa(version), "limits": limits,
 		"listeners": []any{map[string]any{"host": host, "routeRules": rules}}, "clusters": []any{map[string]any{"name": service}}})
 }
 
