--- a/cmd/jaypitch/cmd_evidence.go
+++ b/cmd/jaypitch/cmd_evidence.go
@@ -23,10 +23,11 @@
 	s := &schema.Subject{}
 	var route string
 	c := &cobra.Command{
-		Use:   "evidence [--route TEAM/ROUTE] [--customer NAME] [--backend HOST] [--team TEAM] [--version REVISION]",
-		Short: "Prove that a route, customer, backend server or version is gone everywhere",
+		Use:   "evidence [--route TEAM/ROUTE] [--customer NAME] [--backend HOST] [--data-centre NAME] [--team TEAM] [--version REVISION]",
+		Short: "Prove that a route, customer, backend server, data centre or version is gone everywhere",
 		Long: "Queries every listed host. Exit status 0 means gone, 1 present, 2 not proven.\n" +
-			"With --version, gone means that no host holds an older revision of the team's settings.",
+			"With --version, gone means that no host holds an older revision of the team's settings.\n" +
+			"With --data-centre, asked of a sidecar, gone means that every host has evacuated it and no request is in progress there.",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if err := completeSubject(s, route); err != nil {
@@ -50,6 +51,7 @@
 	f.StringVar(&route, "route", "", "route, as TEAM/ROUTE")
 	f.StringVar(&s.Customer, "customer", "", "customer")
 	f.StringVar(&s.Backend, "backend", "", "host of a backend server")
+	f.StringVar(&s.DataCentre, "data-centre", "", "evacuated data centre")
 	f.StringVar(&s.Team, "team", "", "team")
 	f.Int64Var(&s.Revision, "version", 0, "revision of the team's settings")
 	return c
@@ -73,7 +75,7 @@
 // queryOf returns the query parameters of an evidence request.
 func queryOf(s *schema.Subject, o *options) url.Values {
 	q := url.Values{"timeout": {o.timeout.String()}}
-	for name, value := range map[string]string{"team": s.GetTeam(), "route": s.GetRoute(), "customer": s.GetCustomer(), "backend": s.GetBackend()} {
+	for name, value := range map[string]string{"team": s.GetTeam(), "route": s.GetRoute(), "customer": s.GetCustomer(), "backend": s.GetBackend(), "data_centre": s.GetDataCentre()} {
 		if value != "" {
 			q.Set(name, value)
 		}
--- a/evidence/report.go
+++ b/evidence/report.go
@@ -111,6 +111,8 @@
 	switch {
 	case s.GetBackend() != "":
 		return fmt.Sprintf("backend server of host %s", s.GetBackend())
+	case s.GetDataCentre() != "":
+		return fmt.Sprintf("data centre %s", s.GetDataCentre())
 	case s.GetRoute() != "" && s.GetCustomer() != "":
 		return fmt.Sprintf("route %s of team %s for customer %s", s.GetRoute(), s.GetTeam(), s.GetCustomer())
 	case s.GetRoute() != "":
--- a/hop/notice.go
+++ b/hop/notice.go
@@ -26,7 +26,7 @@
 )
 
 // olderCodes are the codes that older sidecars get instead of a code that they don't know.
-var olderCodes = map[jaypitch.Code]jaypitch.Code{jaypitch.CodeServerLimit: jaypitch.CodeOverloaded}
+var olderCodes = map[jaypitch.Code]jaypitch.Code{jaypitch.CodeServerLimit: jaypitch.CodeOverloaded, jaypitch.CodeEvacuated: jaypitch.CodeStopping}
 
 // formatRequestNotice returns the value of headerNotice for a request, or an empty string if there is nothing to tell.
 func formatRequestNotice(f *jaypitch.MeshRequest, now time.Time) string {
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -43,6 +43,10 @@
 	// wakeTimer starts the queued requests that wait for the rate limit; nil before the first one.
 	wakeTimer *time.Timer
 
+	// dataCentre and unconfirmed are the arguments of WithDataCentre and WithUnconfirmed.
+	dataCentre  string
+	unconfirmed func() bool
+
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 	recordNotice func(serverID string, n jaypitch.ServerNotice)
 	refuseNotice func(serverID string, e *jaypitch.Error)
@@ -153,6 +157,10 @@
 			return refusal(jaypitch.Errorf(jaypitch.CodeBodyCut, "reading the deferred request body failed: %s", err))
 		}
 		f.Body = body
+		if e := r.checkServer(f); e != nil {
+			r.abandon(w, started)
+			return refusal(e)
+		}
 	}
 	if started {
 		return nil
@@ -205,13 +213,17 @@
 	}
 }
 
-// checkServer refuses a request if the sidecar is stopping, or if the server is draining or not listed in the replica. An unlisted
+// checkServer refuses a request if the sidecar is stopping, or if the server is draining, not listed in the replica or in an evacuated data
+// centre. An unlisted
 // server is accepted if the sender holds a newer position.
 func (r *Receiver) checkServer(f *jaypitch.MeshRequest) *jaypitch.Error {
 	position := r.replica.Position()
 	senderIsNewer := r.replica.Comparable(f.Position()) && f.Position().Compare(position) > 0
 	t := r.replica.Table()
 	v := t.Servers[f.ServerID]
+	if e := r.checkAdmissible(t, v); e != nil {
+		return e
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -26,6 +26,8 @@
 	// rules is built from config.
 	rules   ruleIndex
 	servers map[string]*serverEntry
+	// evacuations holds the evacuations and their tombstones by data centre.
+	evacuations map[string]*evacuation
 	// removalsKnownAfter is the lowest revision after which all removals are known. A request for changes since an earlier one gets
 	// the full state.
 	removalsKnownAfter int64
@@ -63,6 +65,8 @@
 type Change struct {
 	Config  bool
 	Servers []*schema.MeshServer
+	// Evacuations holds the evacuations that were requested or, as tombstones, taken back.
+	Evacuations []*schema.MeshEvacuation
 	// Restored is true if the update is of a later era of the store than the replica was.
 	Restored bool
 }
@@ -82,8 +86,8 @@
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	s := &Replica{servers: map[string]*serverEntry{}}
-	s.table.Store(newTable(nil, nil, nil))
+	s := &Replica{servers: map[string]*serverEntry{}, evacuations: map[string]*evacuation{}}
+	s.table.Store(newTable(nil, nil, nil, nil))
 	s.published.Store(&jaypitch.Position{})
 	return s
 }
@@ -125,11 +129,12 @@
 	}
 	c.Restored = s.beginEra(u, now)
 	if u.Era.Differs(s.position.Era) {
-		u.Servers, u.Full, u.Revision = nil, false, 0
+		u.Servers, u.Evacuations, u.Full, u.Revision = nil, nil, false, 0
 	}
 	if c.Restored {
 		u.KeepMissingUntil = now.Add(relistTime)
 	}
+	c.Evacuations = s.mergeEvacuations(u, c.Restored, now)
 	for _, v := range u.Servers {
 		if s.mergeServer(v, u, now) {
 			c.Servers = append(c.Servers, v)
@@ -148,7 +153,7 @@
 	}
 	published := s.position
 	s.published.Store(&published)
-	if c.Config || len(c.Servers) > 0 {
+	if c.Config || len(c.Servers)+len(c.Evacuations) > 0 {
 		s.rebuild(now)
 	}
 	return c
@@ -163,6 +168,7 @@
 	s.position = jaypitch.Position{Era: u.Era}
 	s.restored.Store(true)
 	s.removalsKnownAfter = 0
+	s.beginEvacuationEra(now)
 	for _, e := range s.servers {
 		v := proto.CloneOf(e.server)
 		v.Revision = 0
@@ -206,12 +212,12 @@
 	return p.bornMS == nil || v.BornMs == nil || *p.bornMS == v.GetBornMs()
 }
 
-// Expire deletes tombstones past their lifetime, takes removed servers out of use whose usableUntil has passed, and applies copied entries
-// whose copiedUntil has. It reports whether the table changed.
+// Expire deletes tombstones past their lifetime, takes removed servers out of use whose usableUntil has passed, applies copied entries
+// whose copiedUntil has, and ends evacuations whose heldUntil has. It reports whether the table changed.
 func (s *Replica) Expire(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ended := false
+	ended := s.expireEvacuations(now)
 	for id, e := range s.servers {
 		if !e.usableUntil.IsZero() && !now.Before(e.usableUntil) {
 			e.usableUntil = time.Time{}
@@ -237,7 +243,7 @@
 func (s *Replica) ChangesSince(p jaypitch.Position, version int64) *schema.HeldResponse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := &schema.HeldResponse{Revision: s.position.Revision, Era: s.position.Era.Pointer(), Whole: s.needsFull(p)}
+	out := &schema.HeldResponse{Revision: s.position.Revision, Era: s.position.Era.Pointer(), Whole: s.needsFull(p), ListsEvacuations: true}
 	if s.position.Revision == 0 {
 		return out
 	}
@@ -256,6 +262,7 @@
 			out.Servers = append(out.Servers, e.server)
 		}
 	}
+	s.addEvacuations(out, revision)
 	return out
 }
 
@@ -270,7 +277,8 @@
 // UpdateFrom converts another sidecar's response into an update. It fails with CodeDigestMismatch if the response holds a difference
 // from a version that the replica no longer holds.
 func (s *Replica) UpdateFrom(m *schema.HeldResponse) (jaypitch.MeshUpdate, *jaypitch.Error) {
-	u := jaypitch.MeshUpdate{Revision: m.GetRevision(), Era: jaypitch.NewEra(m.Era), Full: m.GetWhole() && m.GetRevision() > 0, Config: m.GetConfig(), Servers: m.GetServers()}
+	u := jaypitch.MeshUpdate{Revision: m.GetRevision(), Era: jaypitch.NewEra(m.Era), Full: m.GetWhole() && m.GetRevision() > 0, Config: m.GetConfig(), Servers: m.GetServers(),
+		Evacuations: m.GetEvacuations()}
 	if m.GetDifference() == nil {
 		return u, nil
 	}
@@ -408,7 +416,7 @@
 			}
 		}
 	}
-	t := newTable(s.config, s.rules, usable)
+	t := newTable(s.config, s.rules, usable, s.currentEvacuations())
 	t.leaving = leaving
 	s.table.Store(t)
 }
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -16,7 +16,7 @@
 	// Version is the version of the configuration; zero if the replica has none.
 	Version int64
 	Limits  *schema.MeshLimits
-	// Services holds the services that have servers for new requests, by name.
+	// Services holds the services that have servers for new requests, by name. Servers in evacuated data centres get none.
 	Services map[string]*Service
 	// Servers holds all servers in use by ID, including draining ones.
 	Servers map[string]*schema.MeshServer
@@ -26,7 +26,11 @@
 	// named holds the services that the configuration names; nil without a configuration.
 	named map[string]bool
 	// leaving holds the IDs of the servers that stated that they are leaving.
-	leaving   map[string]bool
+	leaving map[string]bool
+	// evacuations holds the evacuated data centres, evacuatedServices the services that have servers there which would get requests otherwise.
+	evacuations       map[string]Evacuation
+	evacuatedServices map[string]bool
+
 	rules     ruleIndex
 	byAddress map[string]*schema.MeshServer
 	hostCount int
@@ -48,9 +52,9 @@
 	Servers []*schema.MeshServer
 }
 
-func newTable(c *schema.MeshConfig, rules ruleIndex, servers []*schema.MeshServer) *Table {
+func newTable(c *schema.MeshConfig, rules ruleIndex, servers []*schema.MeshServer, evacuations map[string]Evacuation) *Table {
 	t := &Table{Version: c.GetVersion(), Limits: c.GetLimits(), Services: map[string]*Service{}, Servers: make(map[string]*schema.MeshServer, len(servers)),
-		rules: rules, byAddress: make(map[string]*schema.MeshServer, len(servers))}
+		rules: rules, evacuations: evacuations, evacuatedServices: map[string]bool{}, byAddress: make(map[string]*schema.MeshServer, len(servers))}
 	t.nameServices(c)
 	slices.SortFunc(servers, t.compareAtAddress)
 	hosts := map[netip.Addr]bool{}
@@ -120,6 +124,10 @@
 		if v.GetDraining() || t.byAddress[v.GetAddress()] != v {
 			continue
 		}
+		if t.Evacuated(v.GetDataCentre()) {
+			t.evacuatedServices[v.GetService()] = true
+			continue
+		}
 		s := t.Services[v.GetService()]
 		if s == nil {
 			s = &Service{Name: v.GetService()}
--- a/meshpeer/client.go
+++ b/meshpeer/client.go
@@ -67,6 +67,9 @@
 		return evidence.Finding{}, eris.Wrapf(err, "requesting a finding from the sidecar at %s", address)
 	}
 	m := a.Msg
+	if m.GetDataCentre() != subject.GetDataCentre() {
+		return evidence.Finding{}, eris.Errorf("the sidecar at %s is of a build that has no findings on data centres", address)
+	}
 	return evidence.Finding{Host: host, Revision: m.GetVersion(), Enforced: m.GetEnforced(), Confirmed: m.GetConfirmed(), InProgress: m.GetInFlight(),
 		SinceAppliedUS: m.GetHeldUs(), LastRequestUS: m.GetLastCallUs()}, nil
 }
--- a/meshpeer/server.go
+++ b/meshpeer/server.go
@@ -57,5 +57,5 @@
 func (s *Server) Find(_ context.Context, r *connect.Request[schema.Subject]) (*connect.Response[schema.MeshFinding], error) {
 	f := s.find(r.Msg)
 	return connect.NewResponse(&schema.MeshFinding{Version: f.Revision, Enforced: f.Enforced, Confirmed: f.Confirmed, InFlight: f.InProgress,
-		HeldUs: f.SinceAppliedUS, LastCallUs: f.LastRequestUS}), nil
+		HeldUs: f.SinceAppliedUS, LastCallUs: f.LastRequestUS, DataCentre: r.Msg.GetDataCentre()}), nil
 }
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -119,14 +119,16 @@
 	switch {
 	case s.GetBackend() != "" && (s.GetTeam() != "" || s.GetRoute() != "" || s.GetCustomer() != "" || s.GetRevision() != 0):
 		return "a backend server can't be combined with a team, route, customer or version"
+	case s.GetDataCentre() != "" && (s.GetBackend() != "" || s.GetTeam() != "" || s.GetRoute() != "" || s.GetCustomer() != "" || s.GetRevision() != 0):
+		return "a data centre can't be combined with a backend server, team, route, customer or version"
 	case s.GetRoute() != "" && s.GetTeam() == "":
 		return "a route requires its team"
 	case s.GetRevision() != 0 && s.GetTeam() == "":
 		return "a version requires its team"
 	case s.GetRevision() != 0 && (s.GetRoute() != "" || s.GetCustomer() != ""):
 		return "a version can't be combined with a route or customer"
-	case s.GetTeam() == "" && s.GetCustomer() == "" && s.GetBackend() == "":
-		return "a route, customer, backend server, version or team is needed"
+	case s.GetTeam() == "" && s.GetCustomer() == "" && s.GetBackend() == "" && s.GetDataCentre() == "":
+		return "a route, customer, backend server, data centre, version or team is needed"
 	}
 	return ""
 }
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -32,6 +32,9 @@
 	// decodeNotice returns what a server states about itself; nil if the platform's servers state nothing.
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 
+	// beginAttempt is the argument of WithDataCentreCounts.
+	beginAttempt func(dataCentre string) (end func())
+
 	mu     sync.Mutex
 	picker *route.MeshPicker
 	budget *route.MeshRetryBudget
@@ -114,6 +117,7 @@
 		pick := d.pick(a, f)
 		if pick.Server == nil {
 			a.recordNoServer(pick)
+			d.recordEvacuated(a)
 			break
 		}
 		out := d.requestFor(a, f, pick)
@@ -205,6 +209,7 @@
 
 // send forwards a request to the sidecar beside a server, or to the local receiver.
 func (d *Dispatcher) send(ctx context.Context, f *jaypitch.MeshRequest, v *schema.MeshServer) *jaypitch.MeshResponse {
+	defer d.begin(v)()
 	if v.GetAddress() == d.localAddress {
 		return d.local.Serve(ctx, f)
 	}
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -123,7 +123,8 @@
 	ruleWeight = 0.05
 	// unresponsiveAfter is the time without a reply after which a sidecar with requests in progress is probed; most requests end sooner.
 	unresponsiveAfter = 250 * time.Millisecond
-	// avoidDuration is how long a server gets no requests after its sidecar reported that it is stopping or isn't beside that server.
+	// avoidDuration is how long a server gets no requests after its sidecar reported that it is stopping, isn't beside that server, or is in an
+	// evacuated data centre.
 	avoidDuration = 700 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time for which a server that refused a rule's request as overloaded gets no more of
 	// the rule's requests. Finish multiplies the bounded time by a random factor from 0.5 to 1.5.
@@ -386,7 +387,7 @@
 	if r.LoadReport.Mean > 0 {
 		e.ruleReports[rule] = ruleReport{mean: r.LoadReport.Mean, failing: r.LoadReport.Failing, until: now.Add(meanMaxAge)}
 	}
-	if r.LoadReport.Stopping || r.Code == jaypitch.CodeMisdirected || r.Code == jaypitch.CodeNotThisHost || r.Code == jaypitch.CodeStopping {
+	if r.LoadReport.Stopping || r.Code == jaypitch.CodeMisdirected || r.Code == jaypitch.CodeNotThisHost || r.Code == jaypitch.CodeStopping || r.Code == jaypitch.CodeEvacuated {
 		e.avoidUntil = now.Add(avoidDuration)
 	}
 	e.updateNetworkTime(r.NetworkTime)
--- a/schema/schemaconnect/mesh.connect.go
+++ b/schema/schemaconnect/mesh.connect.go
@@ -48,7 +48,7 @@
 	// Held returns the part of the sidecar's replica that changed after a revision of the store.
 	Held(context.Context, *connect.Request[schema.HeldRequest]) (*connect.Response[schema.HeldResponse], error)
 	// Find returns the sidecar's finding about a subject. For a rule, team is the rule's host and route its prefix without
-	// the first slash. For a backend server, backend is its ID.
+	// the first slash. For a backend server, backend is its ID. For a data centre, a finding is enforced if it isn't evacuated.
 	Find(context.Context, *connect.Request[schema.Subject]) (*connect.Response[schema.MeshFinding], error)
 	// Burn returns the sidecar's own counts of good and bad requests.
 	Burn(context.Context, *connect.Request[schema.BurnRequest]) (*connect.Response[schema.BurnResponse], error)
@@ -113,7 +113,7 @@
 	// Held returns the part of the sidecar's replica that changed after a revision of the store.
 	Held(context.Context, *connect.Request[schema.HeldRequest]) (*connect.Response[schema.HeldResponse], error)
 	// Find returns the sidecar's finding about a subject. For a rule, team is the rule's host and route its prefix without
-	// the first slash. For a backend server, backend is its ID.
+	// the first slash. For a backend server, backend is its ID. For a data centre, a finding is enforced if it isn't evacuated.
 	Find(context.Context, *connect.Request[schema.Subject]) (*connect.Response[schema.MeshFinding], error)
 	// Burn returns the sidecar's own counts of good and bad requests.
 	Burn(context.Context, *connect.Request[schema.BurnRequest]) (*connect.Response[schema.BurnResponse], error)
--- a/sidecar/evidence.go
+++ b/sidecar/evidence.go
@@ -17,10 +17,13 @@
 func (c *Sidecar) find(s *schema.Subject) evidence.Finding {
 	t := c.replica.Table()
 	f := evidence.Finding{Host: c.settings.Load().GetSidecar().GetHost(), Revision: t.Version, LastRequestUS: -1,
-		Confirmed: t.Version > 0 && c.unconfirmedSince.Load() == nil && c.confirmation.age() <= maxEvidenceAge}
+		Confirmed: t.Version > 0 && !c.unconfirmed() && c.confirmation.age() <= maxEvidenceAge}
 	if at := c.appliedAt.Load(); at != nil {
 		f.SinceAppliedUS = c.now().Sub(*at).Microseconds()
 	}
+	if s.GetDataCentre() != "" {
+		return c.findDataCentre(s.GetDataCentre(), f)
+	}
 	if s.GetBackend() != "" {
 		v := t.Servers[s.GetBackend()]
 		f.Enforced = v != nil && !v.GetDraining()
@@ -65,9 +68,15 @@
 // handleEvidence serves the evidence report on the metrics listener, in the format of the node's operator listener.
 func (c *Sidecar) handleEvidence(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	s := &schema.Subject{Team: q.Get("team"), Route: q.Get("route"), Backend: q.Get("backend")}
-	if (s.GetTeam() == "") == (s.GetBackend() == "") || q.Get("customer") != "" || q.Get("revision") != "" {
-		http.Error(w, "a rule as HOST/PREFIX or a backend server is needed", http.StatusBadRequest)
+	s := &schema.Subject{Team: q.Get("team"), Route: q.Get("route"), Backend: q.Get("backend"), DataCentre: q.Get("data_centre")}
+	named := 0
+	for _, name := range []string{s.GetTeam(), s.GetBackend(), s.GetDataCentre()} {
+		if name != "" {
+			named++
+		}
+	}
+	if named != 1 || q.Get("customer") != "" || q.Get("revision") != "" {
+		http.Error(w, "a rule as HOST/PREFIX, a backend server or a data centre is needed", http.StatusBadRequest)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout(r))
--- a/sidecar/loops.go
+++ b/sidecar/loops.go
@@ -45,8 +45,11 @@
 			c.watcher.resync()
 		}
 		t.last = now
+		c.lastTick.Store(int64(now))
 		t.endUnconfirmed()
-		c.replica.Expire(c.now())
+		if c.replica.Expire(c.now()) {
+			c.applyEvacuations()
+		}
 		if t.ticks++; t.ticks%sweepTicks == 0 {
 			t.sweep()
 		}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -47,6 +47,7 @@
 		serverRequests:     prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_requests_total", Help: "Requests sent to the backend server, by whether it named a rate limit then."}, []string{"limited"}),
 	}
 	m.registry.MustRegister(m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
+	m.registry.MustRegister(newEvacuationCollector(c))
 	gauge := func(name, help string, f func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
 	}
--- a/sidecar/peer_poller.go
+++ b/sidecar/peer_poller.go
@@ -208,6 +208,11 @@
 		c.log.Warn("difference refused", zap.String("peer", address), zap.Int("code", int(e.Code)), zap.String("reason", e.Reason))
 		return
 	}
+	if u.Revision > 0 && !m.GetListsEvacuations() {
+		// An older build doesn't tell of evacuations, so only the store's own response takes the replica to this revision.
+		c.watcher.trigger()
+		return
+	}
 	if u.Revision == 0 || !c.replica.Comparable(u.Position()) || u.Position().Compare(c.replica.Position()) < 0 {
 		return
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -65,6 +65,7 @@
 	metrics      *metrics
 	tracker      *evidence.Tracker
 	burnCounter  burnCounter
+	dataCentres  dataCentres
 	// appliedAt is when the current configuration was applied; nil before the first one.
 	appliedAt atomic.Pointer[time.Time]
 	// peerPort is the port on which the sidecars of the mesh listen for each other.
@@ -76,6 +77,9 @@
 	// unconfirmedSince is when the process resumed from a pause; nil once the replica is confirmed.
 	unconfirmedSince atomic.Pointer[time.Time]
 
+	// lastTick is the time since the machine's start at the last tick, in nanoseconds; zero before the first one.
+	lastTick atomic.Int64
+
 	wg sync.WaitGroup
 }
 
@@ -98,7 +102,7 @@
 func New(s *schema.SidecarSettings, load func() (*schema.SidecarSettings, error), p Platform, log *zap.Logger, dropped func() int64) (*Sidecar, error) {
 	log = log.With(zap.String("node", s.GetSidecar().GetHost()))
 	c := &Sidecar{loadSettings: load, platform: p, log: log, logBudget: logline.NewBudget(), now: time.Now, process: rand.Uint64(), replica: mesh.NewReplica(), tracker: evidence.NewTracker(),
-		burnCounter: burnCounter{counter: burn.NewCounter()}}
+		burnCounter: burnCounter{counter: burn.NewCounter()}, dataCentres: dataCentres{tracker: evidence.NewTracker()}}
 	c.settings.Store(s)
 	c.metrics = newMetrics(c, dropped)
 	listen, err := netip.ParseAddrPort(s.GetListen().GetPeers())
@@ -116,7 +120,7 @@
 	// Receivers identify this sidecar by the local address, to poll it for newer revisions.
 	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()))
 	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.HeaderNames, c.replica, c.confirmation.age, c.backendPool, c.now, c.recordReceived,
-		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice))
+		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice), inbound.WithDataCentre(s.GetSidecar().GetDataCentre()), inbound.WithUnconfirmed(c.unconfirmed))
 	control := http.NewServeMux()
 	control.Handle(meshpeer.NewHandler(c.replica, c.confirmation.age, c.find, c.burnCounts, c.recordSender))
 	control.HandleFunc("GET "+hop.ProbePath, func(http.ResponseWriter, *http.Request) {})
@@ -125,7 +129,7 @@
 	retryBudget := route.NewMeshRetryBudget(ratio, s.GetBounds().GetRetrySlack(), micros(s.GetBounds().GetRetryWindowUs()))
 	c.hopClient = hop.NewClient(c.peerPool, c.now)
 	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
-		outbound.WithNotices(p.DecodeNotice))
+		outbound.WithNotices(p.DecodeNotice), outbound.WithDataCentreCounts(c.beginAttempt))
 	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, s.GetSidecar().GetMemoryMb()*megabyte/bodyMemoryDivisor, c.tracker, c.now, c.recordRequest)
 	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, seeded: c.seeded, starting: c.starting, readsAllPages: c.readsAllPages, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
@@ -219,10 +223,13 @@
 		c.log.Info("server", zap.String("server", v.GetId()), zap.String("service", v.GetService()), zap.String("address", v.GetAddress()),
 			zap.Bool("draining", v.GetDraining()), zap.Bool("gone", v.GetGone()), zap.Int64("revision", v.GetRevision()), zap.String("from", from))
 	}
+	if len(change.Evacuations) > 0 {
+		c.applyEvacuations()
+	}
 	if len(change.Servers) > 0 {
 		c.dispatcher.Prune(c.replica.Table())
 	}
-	if from == fromStore && (change.Restored || change.Config || len(change.Servers) > 0) {
+	if from == fromStore && (change.Restored || change.Config || len(change.Servers)+len(change.Evacuations) > 0) {
 		c.peerPoller.signalChange()
 	}
 	return change
@@ -260,7 +267,7 @@
 
 // localState returns the state of this process that the handler needs for each request.
 func (c *Sidecar) localState() outbound.LocalState {
-	o := outbound.LocalState{Service: c.settings.Load().GetSidecar().GetService(), Stopping: c.stopping.Load(), Unconfirmed: c.unconfirmedSince.Load() != nil || c.replica.Revision() == 0}
+	o := outbound.LocalState{Service: c.settings.Load().GetSidecar().GetService(), Stopping: c.stopping.Load(), Unconfirmed: c.unconfirmed() || c.replica.Revision() == 0}
 	if at := c.endsAt.Load(); at != nil {
 		o.EndsAt = *at
 	}
@@ -270,7 +277,7 @@
 // ready reports whether the platform may send clients to this sidecar.
 func (c *Sidecar) ready() bool {
 	t := c.replica.Table()
-	return !c.stopping.Load() && t.Version > 0 && len(t.Services) > 0 && c.replica.Revision() > 0 && c.unconfirmedSince.Load() == nil
+	return !c.stopping.Load() && t.Version > 0 && t.HasServers() && c.replica.Revision() > 0 && !c.unconfirmed()
 }
 
 // task runs one loop of the sidecar.
--- a/update.go
+++ b/update.go
@@ -13,10 +13,13 @@
 	Revision int64
 	// Era is the era of the store that the revisions in the update belong to.
 	Era Era
-	// Full is true if the update holds the whole mesh, so that any server missing from it was removed.
+	// Full is true if the update holds the whole mesh, so that any server or evacuation missing from it was removed.
 	Full    bool
 	Config  *schema.MeshConfig
 	Servers []*schema.MeshServer
+	// Evacuations holds the evacuated data centres, and in a partial update tombstones of evacuations that were taken back. One without a
+	// revision changes nothing: its entry can't be decoded, which doesn't end an evacuation.
+	Evacuations []*schema.MeshEvacuation
 	// KeepMissingUntil is the time until which servers that were removed without draining first stay in use; zero if they don't.
 	KeepMissingUntil time.Time
 }
