--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -274,11 +274,15 @@
 	return p.Revision < s.removalsKnownAfter || p.Revision == 0 || s.restored.Load() && !p.Era.Known
 }
 
-// UpdateFrom converts another sidecar's response into an update. It fails with CodeDigestMismatch if the response holds a difference
+// UpdateFrom converts another sidecar's response into an update. That of an older build, which doesn't tell of evacuations, is complete up to
+// no revision. It fails with CodeDigestMismatch if the response holds a difference
 // from a version that the replica no longer holds.
 func (s *Replica) UpdateFrom(m *schema.HeldResponse) (jaypitch.MeshUpdate, *jaypitch.Error) {
 	u := jaypitch.MeshUpdate{Revision: m.GetRevision(), Era: jaypitch.NewEra(m.Era), Full: m.GetWhole() && m.GetRevision() > 0, Config: m.GetConfig(), Servers: m.GetServers(),
 		Evacuations: m.GetEvacuations()}
+	if !m.GetListsEvacuations() {
+		u.Revision, u.Full = 0, false
+	}
 	if m.GetDifference() == nil {
 		return u, nil
 	}
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -271,6 +271,9 @@
 		// After busy or failing the server may be chosen again: the load report of its refusal has updated the picker's estimate.
 		a.excluded = append(a.excluded, server)
 	}
+	if r.Code == jaypitch.CodeEvacuated {
+		a.excluded = append(a.excluded, d.serversBeside(server, a.service)...)
+	}
 	if r.Code == jaypitch.CodeOverloaded || r.Code == jaypitch.CodeServerLimit {
 		if a.overloaded++; a.overloaded >= maxOverloaded {
 			return false
--- a/outbound/evacuation.go
+++ b/outbound/evacuation.go
@@ -25,6 +25,23 @@
 	return d.beginAttempt(v.GetDataCentre())
 }
 
+// serversBeside returns the IDs of a service's servers in the data centre of a server. Once a receiver has said that it is evacuated, the others there
+// refuse the request too, though the table doesn't know yet.
+func (d *Dispatcher) serversBeside(id, service string) []string {
+	t := d.replica.Table()
+	s, v := t.Services[service], t.Servers[id]
+	if s == nil || v == nil {
+		return nil
+	}
+	var ids []string
+	for _, o := range s.Servers {
+		if o.GetDataCentre() == v.GetDataCentre() && o.GetId() != id {
+			ids = append(ids, o.GetId())
+		}
+	}
+	return ids
+}
+
 // recordEvacuated records the refusal of a request if no server could be chosen since all are in evacuated data centres.
 func (d *Dispatcher) recordEvacuated(a *attempts) {
 	if !d.replica.Table().AllEvacuated(a.service) {
--- a/sidecar/peer_poller.go
+++ b/sidecar/peer_poller.go
@@ -208,8 +208,8 @@
 		c.log.Warn("difference refused", zap.String("peer", address), zap.Int("code", int(e.Code)), zap.String("reason", e.Reason))
 		return
 	}
-	if u.Revision > 0 && !m.GetListsEvacuations() {
-		// An older build doesn't tell of evacuations, so only the store's own response takes the replica to this revision.
+	if u.Revision == 0 && m.GetRevision() > 0 {
+		// The sidecar is of a build that doesn't tell of evacuations, so only the store's own response takes the replica to its revision.
 		c.watcher.trigger()
 		return
 	}
