--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -86,7 +86,7 @@
 }
 
 func TestForwardRefused(t *testing.T) {
-	for _, code := range []jaypitch.Code{jaypitch.CodeOverloaded, jaypitch.CodeServerLimit, jaypitch.CodeStopping, jaypitch.CodeMisdirected} {
+	for _, code := range []jaypitch.Code{jaypitch.CodeOverloaded, jaypitch.CodeServerLimit, jaypitch.CodeEvacuated, jaypitch.CodeStopping, jaypitch.CodeMisdirected} {
 		t.Run(code.Info().Name, func(t *testing.T) {
 			is := is.New(t)
 			c, address := newClient(t, &fakeReceiver{response: &jaypitch.MeshResponse{Execution: jaypitch.NotExecuted, Code: code, RetryAfter: time.Second}})
