Pace the requests to a cold server

A server that just started bears cold_rate requests a second; after a loss of power each cold one got more than that and crashed. Senders get the pace as a rate limit in load reports, which older builds know. A service without a cold rate is served as before, without questions to its servers.

--- a/admit/slots.go
+++ b/admit/slots.go
@@ -23,7 +23,7 @@
 	started time.Time
 }
 
-// Slots assigns the slots of one backend server, and keeps to the rate limit that the server names. Of the requests that can still meet
+// Slots assigns the slots of one backend server, and keeps to its rate limits: the one that it names, and the one while it is cold. Of the requests that can still meet
 // their target, the one with the earliest target deadline goes first, and a request that can't complete by its deadline doesn't start.
 // Long requests leave the slots free that more urgent ones need; see slotsFor. Once the queue has not been empty for a while, requests are
 // refused at random, with a probability that grows with the queue and is somewhat higher for less urgent ranks. It isn't safe for
@@ -36,8 +36,8 @@
 	// meanServiceUS is the mean service time of all rules' requests, in microseconds.
 	meanServiceUS float64
 	random        func() float64
-	// pacer holds the limit that the server names.
-	pacer Pacer
+	// pacer holds the limit that the server names, and the one while it is cold.
+	pacer pacers
 	// lastEmpty is when a request last arrived at an empty queue.
 	lastEmpty time.Time
 	// reservations are those at reservedAt, which is zero if they have to be computed again; see reservationsAt.
@@ -91,7 +91,7 @@
 // Reset discards the measured service times and the rate limit, for a new server at the same address.
 func (s *Slots) Reset() {
 	s.rules, s.meanServiceUS = map[string]*ruleStats{}, slotsInitialMeanUS
-	s.pacer.Clear()
+	s.pacer = pacers{}
 }
 
 // SetLimit sets the rate limit that the server names, in requests per second.
@@ -116,7 +116,7 @@
 
 // NextStart returns when the rate limit allows the next queued request to start; zero if none is queued, or if it waits for a slot.
 func (s *Slots) NextStart(now time.Time) time.Time {
-	if !s.pacer.Limited() || len(s.queue) == 0 || len(s.inProgress) >= s.size {
+	if !s.pacer.limitedAt(now) || len(s.queue) == 0 || len(s.inProgress) >= s.size {
 		return time.Time{}
 	}
 	return now.Add(s.pacer.Wait(1, now))
@@ -310,7 +310,7 @@
 // request wait longer.
 func (s *Slots) limitingFactor(w *SlotRequest, now time.Time) (jaypitch.Code, string) {
 	if slotTime, limitTime := s.expectedQueueTimes(w, now); limitTime > slotTime {
-		return jaypitch.CodeServerLimit, fmt.Sprintf("; by its limit the server takes a request every %s", s.pacer.Interval())
+		return jaypitch.CodeServerLimit, fmt.Sprintf("; by its limit the server takes a request every %s", s.pacer.intervalAt(now))
 	}
 	return jaypitch.CodeOverloaded, ""
 }
@@ -359,7 +359,7 @@
 		sum += mean
 		n++
 	}
-	return max(sum/time.Duration(s.slotsFor(w.Rule, now)), time.Duration(n)*s.pacer.Interval())
+	return max(sum/time.Duration(s.slotsFor(w.Rule, now)), s.pacer.backlogTime(n, now))
 }
 
 // free reports whether a slot is free and the rate limit allows a request to start.
--- a/cmd/jaypitchd/main.go
+++ b/cmd/jaypitchd/main.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	c, err := sidecar.New(s, file.read, sidecar.Platform{HeaderNames: platform.HeaderNames, ReadyPath: platform.ReadyPath, NewSource: newSource, DecodeNotice: platform.DecodeNotice}, log, logWriter.Dropped)
+	c, err := sidecar.New(s, file.read, sidecar.Platform{HeaderNames: platform.HeaderNames, ReadyPath: platform.ReadyPath, NewSource: newSource, DecodeNotice: platform.DecodeNotice, DecodeCold: platform.DecodeCold}, log, logWriter.Dropped)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/inbound/cold_test.go
@@ -0,0 +1,208 @@
+package inbound
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/http1"
+	"github.com/jaypitch/jaypitch/platform"
+	"github.com/jaypitch/jaypitch/schema"
+	"github.com/jaypitch/jaypitch/standin"
+)
+
+// coldFixture is a receiver of a service with cold servers, on a clock that the test sets.
+type coldFixture struct {
+	*fixture
+	mu       sync.Mutex
+	clock    time.Time
+	arrivals []time.Time
+}
+
+const (
+	healthPath  = "/health"
+	coldRate    = 12.0
+	coldSlack   = 8.0
+	coldOverage = 1.5
+	coldAllowed = 26
+	coldTime    = 3 * time.Second
+)
+
+// newColdFixture returns a receiver that has just started. Its server says that it stays cold for a time; its entry says nothing.
+func newColdFixture(t *testing.T, rate float64, cold time.Duration) *coldFixture {
+	t.Helper()
+	g := &coldFixture{fixture: newFixture(t, 4), clock: testStart}
+	g.server.ServeHealth(healthPath, cold)
+	g.replica.Merge(jaypitch.MeshUpdate{Config: &schema.MeshConfig{Version: 1, Services: []string{"x"},
+		ServiceLimits: []*schema.MeshServiceLimits{{Service: "x", ColdUs: coldTime.Microseconds(), ColdRate: rate, HealthPath: healthPath}}}}, testStart)
+	g.restart()
+	return g
+}
+
+// restart replaces the receiver by one that knows nothing of before.
+func (g *coldFixture) restart() {
+	g.receiver = NewReceiver(g.server.Address(), platform.HeaderNames, g.replica, func() time.Duration { return 0 }, http1.NewPool(time.Now), g.now,
+		func(*jaypitch.MeshRequest, *jaypitch.MeshResponse, time.Duration) {},
+		WithCold(ColdOptions{Decode: platform.DecodeCold, Bounds: func() (float64, float64) { return coldOverage, coldSlack }, Service: "x"}))
+	g.receiver.ObserveTable()
+	g.awaitProbe()
+}
+
+func (g *coldFixture) now() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.clock
+}
+
+func (g *coldFixture) advance(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.clock = g.clock.Add(d)
+}
+
+// awaitProbe waits until no question to the server is in progress.
+func (g *coldFixture) awaitProbe() {
+	for asking := true; asking; {
+		g.receiver.mu.Lock()
+		asking = g.receiver.cold.asking
+		g.receiver.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// serve serves one request and returns its response. It has too little time to wait for the pace.
+func (g *coldFixture) serve() *jaypitch.MeshResponse {
+	f := newRequest("one", "")
+	f.Deadline, f.TargetDeadline = g.now().Add(shortTimeLimit), g.now().Add(shortTimeLimit)
+	r := g.receiver.Serve(context.Background(), f)
+	g.awaitProbe()
+	if r.Code == jaypitch.CodeOK {
+		g.arrivals = append(g.arrivals, g.now())
+	}
+	return r
+}
+
+// serveFor serves 50 requests a second for a time. It returns how many of them the server executed.
+func (g *coldFixture) serveFor(d time.Duration) int {
+	before := len(g.arrivals)
+	for until := g.now().Add(d); g.now().Before(until); g.advance(arrivalEvery) {
+		g.serve()
+	}
+	return len(g.arrivals) - before
+}
+
+// mostInSecond returns the largest number of arrivals in a second.
+func (g *coldFixture) mostInSecond() int {
+	most := 0
+	for i, from := range g.arrivals {
+		n := 0
+		for _, at := range g.arrivals[i:] {
+			if at.Before(from.Add(time.Second)) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestColdServerIsFlooded guards against a receiver that sends its cold server more than it bears, and one that goes on pacing a warm one.
+func TestColdServerIsFlooded(t *testing.T) {
+	t.Run("a cold server", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, coldRate, 2*time.Second)
+		n := g.serveFor(2 * time.Second)
+		is.True(n >= 22 && g.mostInSecond() <= coldAllowed)
+		is.Equal(g.server.HealthRequests(), 1)
+		is.Equal(g.serveFor(time.Second), 50)
+	})
+	t.Run("a restart of the receiver beside a warm server", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, coldRate, 0)
+		is.Equal(g.serveFor(time.Second), 50)
+		g.restart()
+		is.Equal(g.serveFor(time.Second), 50)
+		is.Equal(g.server.HealthRequests(), 2)
+	})
+	t.Run("a restart of the receiver beside a cold server", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, coldRate, 2*time.Second)
+		g.serveFor(time.Second)
+		g.server.ServeHealth(healthPath, time.Second)
+		g.restart()
+		g.serveFor(time.Second)
+		is.True(g.mostInSecond() <= coldAllowed)
+	})
+	t.Run("a server that says nothing of it, and whose entry neither does", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, coldRate, 0)
+		g.server.HideCold()
+		g.restart()
+		is.Equal(g.serveFor(time.Second), 50)
+	})
+	t.Run("a server that restarts", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, coldRate, 0)
+		is.Equal(g.serve().Code, jaypitch.CodeOK)
+		address := g.server.Address()
+		g.server.Close()
+		g.receiver.pool.CloseIdle(address)
+		for range 2 {
+			g.advance(200 * time.Millisecond)
+			is.Equal(g.serve().Code, jaypitch.CodeUnreachable)
+		}
+		is.True(g.serve().LoadReport.Limited)
+		server, err := standin.NewMeshServer(address, "i-1", 4, 0)
+		is.NoErr(err)
+		t.Cleanup(server.Close)
+		server.ServeHealth(healthPath, 1900*time.Millisecond)
+		g.advance(2 * time.Second)
+		g.arrivals = nil
+		n := g.serveFor(2 * time.Second)
+		is.True(n >= 20 && g.mostInSecond() <= coldAllowed)
+		is.Equal(g.serveFor(time.Second), 50)
+	})
+	t.Run("a service without a limit", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, 0, 2*time.Second)
+		is.Equal(g.serveFor(time.Second), 50)
+		is.Equal(g.server.HealthRequests(), 0)
+		is.True(!g.serve().LoadReport.Limited)
+	})
+	t.Run("the end of an evacuation", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, coldRate, 0)
+		is.Equal(g.serveFor(time.Second), 50)
+		g.setEvacuated("", true)
+		g.receiver.ObserveTable()
+		g.receiver.DoubtCold()
+		g.serveFor(2 * time.Second)
+		is.Equal(g.server.HealthRequests(), 1) // that of the start
+		g.server.ServeHealth(healthPath, coldTime)
+		g.setEvacuated("", false)
+		g.receiver.ObserveTable()
+		g.awaitProbe()
+		is.Equal(g.server.HealthRequests(), 2)
+		g.arrivals = nil
+		n := g.serveFor(2 * time.Second)
+		is.True(n >= 22 && g.mostInSecond() <= coldAllowed)
+	})
+}
+
+// TestColdServerIsReported guards against senders that don't know that a server takes few requests.
+func TestColdServerIsReported(t *testing.T) {
+	is := is.New(t)
+	g := newColdFixture(t, coldRate, coldTime)
+	g.serveFor(time.Second)
+	r := g.serve()
+	is.True(r.LoadReport.Limited)
+	is.True(r.LoadReport.RateLimit > 11.9 && r.LoadReport.RateLimit <= coldRate)
+	is.True(r.LoadReport.LimitWait > 0)
+	if r.Code != jaypitch.CodeOK {
+		is.Equal(r.Execution, jaypitch.NotExecuted)
+	}
+}
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -46,6 +46,7 @@
 	// dataCentre and unconfirmed are the arguments of WithDataCentre and WithUnconfirmed.
 	dataCentre  string
 	unconfirmed func() bool
+	cold        coldServer
 
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 	recordNotice func(serverID string, n jaypitch.ServerNotice)
@@ -236,6 +237,7 @@
 	case v != nil && v.GetDraining():
 		return jaypitch.Errorf(jaypitch.CodeStopping, "server %q is draining", f.ServerID)
 	}
+	r.observeTable(t)
 	r.updateServer(f.ServerID, v)
 	return nil
 }
@@ -244,10 +246,8 @@
 // the measurements of the previous one.
 func (r *Receiver) updateServer(id string, v *schema.MeshServer) {
 	if r.serverID != id {
-		r.serverID = id
-		r.slots.Reset()
-		clear(r.failing)
-		r.notice, r.noticed = jaypitch.ServerNotice{}, false
+		r.resetServer(id)
+		r.observeUnlisted(v)
 	}
 	if v != nil {
 		r.slots.Resize(int(v.GetSlots()))
@@ -262,11 +262,13 @@
 	a, err := r.pool.Do(ctx, r.address, r.request(f, started))
 	if err != nil {
 		response := r.errorResponse(ctx, err)
+		r.observeFailure(ctx, err)
 		cancel()
 		r.recordResult(w, response, 0)
 		return response
 	}
 	response := r.classify(f, a)
+	r.observeResponse(a.Header, started)
 	r.observeNotice(f, a.Header, response, server)
 	if response.Execution == jaypitch.Executed {
 		body, more, err := readBody(a)
@@ -423,6 +425,7 @@
 
 // startQueued starts the queued requests that fit now and refuses those that expired. The caller holds the lock.
 func (r *Receiver) startQueued() {
+	r.startProbe()
 	start, expired := r.slots.Next(r.now())
 	for _, s := range start {
 		s.Decision <- nil
@@ -436,7 +439,7 @@
 // scheduleWake sets the timer for the next queued request that waits for the rate limit. The caller holds the lock.
 func (r *Receiver) scheduleWake() {
 	now := r.now()
-	at := r.slots.NextStart(now)
+	at := r.nextWake(now)
 	switch {
 	case at.IsZero():
 	case r.wakeTimer == nil:
@@ -461,8 +464,11 @@
 	defer r.mu.Unlock()
 	report := jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
 		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
-	if r.notice.Limited {
-		report.Limited, report.RateLimit, report.LimitWait = true, r.notice.RateLimit, r.slots.LimitWait(r.now())
+	if rate, limited := r.slots.RateLimit(r.now()); limited {
+		if r.notice.Limited {
+			rate = min(rate, r.notice.RateLimit)
+		}
+		report.Limited, report.RateLimit, report.LimitWait = true, rate, r.slots.LimitWait(r.now())
 	}
 	return report
 }
--- a/logline/kind.go
+++ b/logline/kind.go
@@ -32,6 +32,7 @@
 	{"evacuation", []string{"data_centre", "revision", "servers", "requests_in_progress"}, "the operators evacuate a data centre: its servers get no requests; servers is the number of those known there, 0 if the name is unknown"},
 	{"evacuation ended", []string{"data_centre", "after"}, "the evacuation was taken back, or the store came back from a copy without it and nobody wrote it again"},
 	{"server notice", []string{"server", "limited", "limit", "leaving"}, "the backend server on this host states something else about itself than before: its limit in requests per second, or that it is leaving"},
+	{"server cold", []string{"server", "cold"}, "the backend server on this host begins or ceases to count as cold; requests to it are paced meanwhile, in services whose configuration limits cold servers"},
 	{"server notice refused", []string{"server", "code", "reason"}, "what the backend server states about itself can't be decoded"},
 	{"sidecar taken for dead", []string{"server", "address", "error"}, "the sidecar beside a server is unresponsive and did not respond to a probe"},
 	{"sidecar gives no answer", []string{"peer", "error"}, "a sidecar did not respond to a request for its configuration"},
--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -437,5 +437,5 @@
 
 func sameServer(a, b *schema.MeshServer) bool {
 	return (a.BornMs == nil) == (b.BornMs == nil) && a.GetBornMs() == b.GetBornMs() && a.GetService() == b.GetService() && a.GetAddress() == b.GetAddress() && a.GetDraining() == b.GetDraining() &&
-		a.GetGone() == b.GetGone() && a.GetSlots() == b.GetSlots() && a.GetDataCentre() == b.GetDataCentre()
+		a.GetGone() == b.GetGone() && a.GetSlots() == b.GetSlots() && a.GetDataCentre() == b.GetDataCentre() && a.GetColdUs() == b.GetColdUs()
 }
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -173,6 +173,11 @@
 	return false
 }
 
+// ServerAt returns the server in use at an address; nil if there is none.
+func (t *Table) ServerAt(address string) *schema.MeshServer {
+	return t.byAddress[address]
+}
+
 // Leaving reports whether a server in use stated that it is leaving.
 func (t *Table) Leaving(id string) bool {
 	return t.leaving[id]
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -134,6 +134,9 @@
 	maxLimitRetryAfter = time.Second
 	// coldFactor is the assumed ratio of the service times of a server that has just started and of a warm one.
 	coldFactor = 2.0
+	// maxColdCaution bounds the time for which a server that just joined costs coldFactor times as much without a report of its own. Where all others
+	// have room it would get nothing otherwise until it is warm.
+	maxColdCaution = 2 * time.Second
 	// busyFactor is the share of the mean service time by which a server's cost grows from no slot in use to all slots in use.
 	busyFactor = 0.5
 	// kilobyteCost is the cost of a kilobyte sent to another data centre, as a share of the latency target. The operators' prices
@@ -468,7 +471,7 @@
 func (c *MeshPicker) server(v *schema.MeshServer, now time.Time) *serverState {
 	e := c.servers[v.GetId()]
 	if e == nil {
-		e = &serverState{server: v, ruleReports: map[string]ruleReport{}, retryAt: map[string]time.Time{}, rankRetryAt: map[int64]time.Time{}, coldUntil: now.Add(time.Duration(v.GetColdUs()) * time.Microsecond)}
+		e = &serverState{server: v, ruleReports: map[string]ruleReport{}, retryAt: map[string]time.Time{}, rankRetryAt: map[int64]time.Time{}, coldUntil: now.Add(min(maxColdCaution, time.Duration(v.GetColdUs())*time.Microsecond))}
 		c.servers[v.GetId()] = e
 	}
 	return e
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -101,6 +101,9 @@
 	return problems
 }
 
+// maxColdBound limits the settings about cold servers.
+const maxColdBound = 1e6
+
 // ParseSidecar parses the settings file of a sidecar. The settings are usable only if there are no problems.
 func ParseSidecar(file string, text []byte) (*schema.SidecarSettings, ini.Problems) {
 	s := &schema.SidecarSettings{}
@@ -109,5 +112,12 @@
 		problems = append(problems, ini.Problem{Code: jaypitch.CodeOutOfRange, File: file, Section: "bounds", Key: "retry_ratio",
 			Reason: fmt.Sprintf("%q is not a number from 0 to 1", s.GetBounds().GetRetryRatio())})
 	}
+	for key, text := range map[string]string{"cold_overage": s.GetBounds().GetColdOverage(), "cold_slack": s.GetBounds().GetColdSlack()} {
+		least := map[string]float64{"cold_overage": 1}[key]
+		if n, err := strconv.ParseFloat(text, 64); err != nil || !(n >= least && n <= maxColdBound) {
+			problems = append(problems, ini.Problem{Code: jaypitch.CodeOutOfRange, File: file, Section: "bounds", Key: key,
+				Reason: fmt.Sprintf("%q is not a number from %g to %g", text, least, maxColdBound)})
+		}
+	}
 	return s, problems
 }
--- a/sidecar/loops.go
+++ b/sidecar/loops.go
@@ -42,6 +42,7 @@
 			resumedAt := c.now()
 			c.unconfirmedSince.Store(&resumedAt)
 			c.log.Warn("paused", zap.Duration("for", now-t.last))
+			c.receiver.DoubtCold()
 			c.watcher.resync()
 		}
 		t.last = now
@@ -49,6 +50,7 @@
 		t.endUnconfirmed()
 		if c.replica.Expire(c.now()) {
 			c.applyEvacuations()
+			c.receiver.ObserveTable()
 		}
 		if t.ticks++; t.ticks%sweepTicks == 0 {
 			t.sweep()
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -27,6 +27,7 @@
 	serverConnections  prometheus.Counter
 	serverRequests     *prometheus.CounterVec
 	restores           prometheus.Counter
+	coldStarts         prometheus.Counter
 }
 
 const namespace = "jaypitch_sidecar"
@@ -43,10 +44,11 @@
 		serviceTime:        prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "server_seconds", Help: "Time at the backend server (service time), by rank.", Buckets: histogramBuckets}, []string{"rank"}),
 		undecodableEntries: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "entries_refused_total", Help: "Entries of the store that can't be decoded."}),
 		serverConnections:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "server_connections_total", Help: "New connections to the backend server."}),
+		coldStarts:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "server_cold_total", Help: "Times that the backend server began to count as cold, so that requests to it are paced."}),
 		restores:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_restores_total", Help: "Times that the store came back from a copy, as the rise of its era shows."}),
 		serverRequests:     prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_requests_total", Help: "Requests sent to the backend server, by whether it named a rate limit then."}, []string{"limited"}),
 	}
-	m.registry.MustRegister(m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
+	m.registry.MustRegister(m.coldStarts, m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
 	m.registry.MustRegister(newEvacuationCollector(c))
 	gauge := func(name, help string, f func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
@@ -71,6 +73,7 @@
 		}
 		return 0
 	})
+	gauge("server_cold_seconds", "Time for which the backend server still counts as cold; 0 if it is warm or its service has no limit for cold servers.", c.coldSeconds)
 	gauge("lines_dropped", "Log lines dropped because the output was too slow or failed.", func() float64 { return float64(dropped()) })
 	return m
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -37,6 +37,8 @@
 	ReadyPath string
 	// NewSource returns the source that reads the store at an address. It calls onUndecodable for each entry that can't be decoded.
 	NewSource func(address string, now func() time.Time, onUndecodable func(*jaypitch.Error)) jaypitch.MeshSource
+	// DecodeCold returns for how long a backend server stays cold, by the header of its response, and whether that tells it; nil if none does.
+	DecodeCold func(http.Header) (time.Duration, bool)
 	// DecodeNotice returns what a backend server states about itself in the header of its response.
 	DecodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 }
@@ -116,11 +118,14 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "parsing the retry ratio")
 	}
+	if _, _, err := parseColdBounds(s.GetBounds()); err != nil {
+		return nil, err
+	}
 	c.backendPool = http1.NewPool(c.now, http1.WithOnDial(c.metrics.recordConnection))
 	// Receivers identify this sidecar by the local address, to poll it for newer revisions.
 	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()))
 	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.HeaderNames, c.replica, c.confirmation.age, c.backendPool, c.now, c.recordReceived,
-		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice), inbound.WithDataCentre(s.GetSidecar().GetDataCentre()), inbound.WithUnconfirmed(c.unconfirmed))
+		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice), inbound.WithDataCentre(s.GetSidecar().GetDataCentre()), inbound.WithUnconfirmed(c.unconfirmed), c.withCold())
 	control := http.NewServeMux()
 	control.Handle(meshpeer.NewHandler(c.replica, c.confirmation.age, c.find, c.burnCounts, c.recordSender))
 	control.HandleFunc("GET "+hop.ProbePath, func(http.ResponseWriter, *http.Request) {})
@@ -226,6 +231,9 @@
 	if len(change.Evacuations) > 0 {
 		c.applyEvacuations()
 	}
+	if change.Config || len(change.Servers)+len(change.Evacuations) > 0 {
+		c.receiver.ObserveTable()
+	}
 	if len(change.Servers) > 0 {
 		c.dispatcher.Prune(c.replica.Table())
 	}
--- /dev/null
+++ b/standin/cold.go
@@ -0,0 +1,61 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// health is the health endpoint of a MeshServer.
+type health struct {
+	// path is empty if there is none.
+	path string
+	cold time.Duration
+	// silent leaves out the cold time.
+	silent   bool
+	requests int
+}
+
+// ServeHealth makes the server respond at a path, with the time for which it stays cold.
+func (s *MeshServer) ServeHealth(path string, cold time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.path, s.health.cold, s.health.silent = path, cold, false
+}
+
+// HideCold makes the server leave the cold time out of its responses at the health path.
+func (s *MeshServer) HideCold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.silent = true
+}
+
+// HealthRequests returns the number of requests at the health path.
+func (s *MeshServer) HealthRequests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health.requests
+}
+
+// respondHealth responds to a request at the health path. It reports whether the request was one, and whether the connection can stay open. It takes
+// a slot like any other request.
+func (s *MeshServer) respondHealth(w io.Writer, r *http.Request) (is, stays bool) {
+	s.mu.Lock()
+	h, id, full := s.health, s.id, s.running >= s.slots
+	if h.path == "" || r.URL.Path != h.path {
+		s.mu.Unlock()
+		return false, true
+	}
+	s.health.requests++
+	s.mu.Unlock()
+	status, cold := "200 OK", fmt.Sprintf("X-Cold-Ms: %d\r\n", h.cold.Milliseconds())
+	if full {
+		status = "503 Service Unavailable"
+	}
+	if full || h.silent {
+		cold = ""
+	}
+	_, err := fmt.Fprintf(w, "HTTP/1.1 %s\r\n%sX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", status, cold, id)
+	return true, err == nil
+}
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -29,6 +29,7 @@
 	connections int
 	// notice holds the lines of the header with what the server states about itself, each with its line end.
 	notice string
+	health health
 }
 
 // Behaviour is how a MeshServer responds to requests.
@@ -205,6 +206,9 @@
 
 // respond serves one request. It reports whether the connection can stay open.
 func (s *MeshServer) respond(w net.Conn, in *bufio.Reader, r *http.Request) bool {
+	if is, stays := s.respondHealth(w, r); is {
+		return stays
+	}
 	s.mu.Lock()
 	b, id, serviceTime, notice := s.behaviour, s.id, s.serviceTime, s.notice
 	s.headers = append(s.headers, r.Header)
