Serve a ramp of cold servers by rank, and try a new cold server from each sender at another time

While a server is cold, its queue starts the most urgent rank first, and less urgent requests that start later don't count in the queue of others: a cold server bears a number of requests, however long they take.

--- a/admit/cold.go
+++ b/admit/cold.go
@@ -229,6 +229,11 @@
 	}
 }
 
+// coldAt reports whether the limit of a cold server holds at a time.
+func (p *pacers) coldAt(now time.Time) bool {
+	return now.Before(p.cold.until)
+}
+
 // limitedAt reports whether any limit holds at a time.
 func (p *pacers) limitedAt(now time.Time) bool {
 	return p.Limited() || now.Before(p.cold.until)
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -348,10 +348,11 @@
 func (s *Slots) backlog(w *SlotRequest, now time.Time) time.Duration {
 	var sum time.Duration
 	n := 0
+	cold := s.pacer.coldAt(now)
 	for _, o := range s.queue {
 		mean := s.MeanServiceTime(o.Rule)
 		if o.Rank > w.Rank && !s.startsBefore(o, w, now) {
-			if s.slotsFor(o.Rule, now) < s.size {
+			if cold || s.slotsFor(o.Rule, now) < s.size {
 				continue
 			}
 			mean = min(mean, s.MeanServiceTime(w.Rule))
@@ -384,8 +385,12 @@
 	return first
 }
 
-// startsBefore reports whether a starts before b: those that can still meet their target come first, then the earlier target deadline.
+// startsBefore reports whether a starts before b: those that can still meet their target come first, then the earlier target deadline. While the
+// server is cold it bears a number of requests, however long they take, so the most urgent rank comes first.
 func (s *Slots) startsBefore(a, b *SlotRequest, now time.Time) bool {
+	if a.Rank != b.Rank && s.pacer.coldAt(now) {
+		return a.Rank < b.Rank
+	}
 	if lateA, lateB := s.late(a, now), s.late(b, now); lateA != lateB {
 		return lateB
 	}
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -134,9 +134,6 @@
 	maxLimitRetryAfter = time.Second
 	// coldFactor is the assumed ratio of the service times of a server that has just started and of a warm one.
 	coldFactor = 2.0
-	// maxColdCaution bounds the time for which a server that just joined costs coldFactor times as much without a report of its own. Where all others
-	// have room it would get nothing otherwise until it is warm.
-	maxColdCaution = 2 * time.Second
 	// busyFactor is the share of the mean service time by which a server's cost grows from no slot in use to all slots in use.
 	busyFactor = 0.5
 	// kilobyteCost is the cost of a kilobyte sent to another data centre, as a share of the latency target. The operators' prices
@@ -292,6 +289,9 @@
 	if t := e.ruleReports[q.Rule]; now.Before(t.until) && t.failing > failingThreshold {
 		cost *= 1 + 10*t.failing
 	}
+	if e.untried() {
+		cost *= 1 + untriedFactor*float64(e.inFlight)
+	}
 	if v.GetDataCentre() != c.dataCentre {
 		cost += c.transferCost(float64(q.BodyBytes)+c.rule(q.Rule).responseBytes, q)
 	}
@@ -471,7 +471,7 @@
 func (c *MeshPicker) server(v *schema.MeshServer, now time.Time) *serverState {
 	e := c.servers[v.GetId()]
 	if e == nil {
-		e = &serverState{server: v, ruleReports: map[string]ruleReport{}, retryAt: map[string]time.Time{}, rankRetryAt: map[int64]time.Time{}, coldUntil: now.Add(min(maxColdCaution, time.Duration(v.GetColdUs())*time.Microsecond))}
+		e = &serverState{server: v, ruleReports: map[string]ruleReport{}, retryAt: map[string]time.Time{}, rankRetryAt: map[int64]time.Time{}, coldUntil: c.coldUntil(v, now)}
 		c.servers[v.GetId()] = e
 	}
 	return e
