Begin each sidecar's split at a random place; keep to the regions of rules

Every sidecar began its sequence of draws at the same place, so that the first requests of 80 sidecars all went to the same destinations; with weights of 2, 3 and 5 the shares of 300 requests were off by more than 0.1.

--- a/admit/cold_test.go
+++ b/admit/cold_test.go
@@ -131,7 +131,7 @@
 			type span struct{ from, until time.Time }
 			var starts []time.Time
 			var spans []span
-			for now := slotsStart; now.Before(slotsStart.Add(25*time.Second)); now = now.Add(time.Duration(random.IntN(8)) * ms) {
+			for now := slotsStart; now.Before(slotsStart.Add(25 * time.Second)); now = now.Add(time.Duration(random.IntN(8)) * ms) {
 				if len(spans) == 0 || now.After(spans[len(spans)-1].until.Add(2*time.Second)) {
 					spans = append(spans, span{now, now.Add(4 * time.Second)})
 					s.SetCold(l, now.Add(4*time.Second))
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -152,7 +152,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	pick := d.picker.Pick(d.replica.Table().Services[a.service], route.PickRequest{Rule: a.rule.GetName(), Rank: a.rule.GetRank(), LatencyTarget: a.rule.LatencyTarget(),
-		BodyBytes: len(f.Body), Deadline: f.Deadline, Excluded: a.excluded}, now)
+		BodyBytes: len(f.Body), Deadline: f.Deadline, Regions: a.rule.GetRegions(), Excluded: a.excluded}, now)
 	if pick.Server != nil {
 		d.picker.Start(pick.Server, now)
 	}
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,8 +31,9 @@
 	bodyBudget bodyBudget
 
 	mu sync.Mutex
-	// draws holds the last draw of each rule.
-	draws map[string]float64
+	// draws holds the last draw of each rule. The first one is random, so that the few requests of each of many sidecars add up to the weights.
+	draws  map[string]float64
+	random func() float64
 }
 
 // LocalState is the state of this host and process that a handler reads at each request.
@@ -74,7 +76,7 @@
 func NewHandler(d *Dispatcher, replica *mesh.Replica, names jaypitch.HeaderNames, localState func() LocalState, budgetBytes int64,
 	tracker *evidence.Tracker, now func() time.Time, record func(Record)) *Handler {
 	return &Handler{dispatcher: d, replica: replica, names: names, localState: localState, now: now,
-		record: record, tracker: tracker, bodyBudget: bodyBudget{limit: budgetBytes}, draws: map[string]float64{}}
+		record: record, tracker: tracker, bodyBudget: bodyBudget{limit: budgetBytes}, draws: map[string]float64{}, random: rand.Float64}
 }
 
 // InProgress returns the number of requests in progress.
@@ -173,11 +175,15 @@
 }
 
 // draw returns the number, from 0 to 1, that chooses the destination of a rule's next request. The numbers of a rule are spread evenly,
-// so that destinations get their shares by weight.
+// so that destinations get their shares by weight, and begin at a random place.
 func (h *Handler) draw(rule string) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_, next := math.Modf(h.draws[rule] + goldenRatio)
+	last, ok := h.draws[rule]
+	if !ok {
+		last = h.random()
+	}
+	_, next := math.Modf(last + goldenRatio)
 	h.draws[rule] = next
 	return next
 }
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -16,6 +16,7 @@
 // is expected to respond first, with a preference for the sidecar's data centre. It isn't safe for concurrent use.
 type MeshPicker struct {
 	dataCentre string
+	regions    mesh.Regions
 	random     func() float64
 	servers    map[string]*serverState
 	rules      map[string]*ruleStats
@@ -81,6 +82,8 @@
 	BodyBytes int
 	// Deadline is when the request times out. A server whose rate limit has no room before is skipped.
 	Deadline time.Time
+	// Regions are the regions whose servers may be chosen; empty if all may.
+	Regions []string
 	// Excluded are the IDs of servers that must not be chosen, since an earlier attempt failed there.
 	Excluded []string
 }
@@ -156,8 +159,12 @@
 )
 
 // NewMeshPicker returns a picker for a sidecar of a data centre. Random returns a number in [0, 1).
-func NewMeshPicker(dataCentre string, random func() float64) *MeshPicker {
-	return &MeshPicker{dataCentre: dataCentre, random: random, servers: map[string]*serverState{}, rules: map[string]*ruleStats{}}
+func NewMeshPicker(dataCentre string, random func() float64, options ...MeshPickerOption) *MeshPicker {
+	c := &MeshPicker{dataCentre: dataCentre, random: random, servers: map[string]*serverState{}, rules: map[string]*ruleStats{}}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Pick chooses the server of a service with the lowest cost. It skips excluded servers and those whose retry-after for the rule
@@ -168,7 +175,7 @@
 		return p
 	}
 	best, next := math.Inf(1), math.Inf(1)
-	for _, v := range c.sample(s.Servers) {
+	for _, v := range c.sample(c.allowed(s.Servers, q)) {
 		if contains(q.Excluded, v.GetId()) {
 			continue
 		}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/ini"
@@ -119,5 +120,11 @@
 				Reason: fmt.Sprintf("%q is not a number from %g to %g", text, least, maxColdBound)})
 		}
 	}
+	for _, pair := range s.GetSidecar().GetRegions() {
+		if dataCentre, region, ok := strings.Cut(pair, ":"); !ok || dataCentre == "" || region == "" || strings.Contains(region, ":") {
+			problems = append(problems, ini.Problem{Code: jaypitch.CodeWrongType, File: file, Section: "sidecar", Key: "regions",
+				Reason: fmt.Sprintf("%q is not a data centre and its region, separated by a colon", pair)})
+		}
+	}
 	return s, problems
 }
