--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -43,6 +43,11 @@
 	// wakeTimer starts the queued requests that wait for the rate limit; nil before the first one.
 	wakeTimer *time.Timer
 
+	// dataCentre and unconfirmed are the arguments of WithDataCentre and WithUnconfirmed.
+	dataCentre  string
+	unconfirmed func() bool
+	cold        coldServer
+
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 	recordNotice func(serverID string, n jaypitch.ServerNotice)
 	refuseNotice func(serverID string, e *jaypitch.Error)
@@ -153,6 +158,10 @@
 			return refusal(jaypitch.Errorf(jaypitch.CodeBodyCut, "reading the deferred request body failed: %s", err))
 		}
 		f.Body = body
+		if e := r.checkServer(f); e != nil {
+			r.abandon(w, started)
+			return refusal(e)
+		}
 	}
 	if started {
 		return nil
@@ -205,13 +214,17 @@
 	}
 }
 
-// checkServer refuses a request if the sidecar is stopping, or if the server is draining or not listed in the replica. An unlisted
+// checkServer refuses a request if the sidecar is stopping, or if the server is draining, not listed in the replica or in an evacuated data
+// centre. An unlisted
 // server is accepted if the sender holds a newer position.
 func (r *Receiver) checkServer(f *jaypitch.MeshRequest) *jaypitch.Error {
 	position := r.replica.Position()
 	senderIsNewer := r.replica.Comparable(f.Position()) && f.Position().Compare(position) > 0
 	t := r.replica.Table()
 	v := t.Servers[f.ServerID]
+	if e := r.checkAdmissible(t, v); e != nil {
+		return e
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -224,6 +237,7 @@
 	case v != nil && v.GetDraining():
 		return jaypitch.Errorf(jaypitch.CodeStopping, "server %q is draining", f.ServerID)
 	}
+	r.observeTable(t)
 	r.updateServer(f.ServerID, v)
 	return nil
 }
@@ -232,10 +246,8 @@
 // the measurements of the previous one.
 func (r *Receiver) updateServer(id string, v *schema.MeshServer) {
 	if r.serverID != id {
-		r.serverID = id
-		r.slots.Reset()
-		clear(r.failing)
-		r.notice, r.noticed = jaypitch.ServerNotice{}, false
+		r.resetServer(id)
+		r.observeUnlisted(v)
 	}
 	if v != nil {
 		r.slots.Resize(int(v.GetSlots()))
@@ -250,11 +262,13 @@
 	a, err := r.pool.Do(ctx, r.address, r.request(f, started))
 	if err != nil {
 		response := r.errorResponse(ctx, err)
+		r.observeFailure(ctx, err)
 		cancel()
 		r.recordResult(w, response, 0)
 		return response
 	}
 	response := r.classify(f, a)
+	r.observeResponse(a.Header, started)
 	r.observeNotice(f, a.Header, response, server)
 	if response.Execution == jaypitch.Executed {
 		body, more, err := readBody(a)
@@ -411,6 +425,7 @@
 
 // startQueued starts the queued requests that fit now and refuses those that expired. The caller holds the lock.
 func (r *Receiver) startQueued() {
+	r.startProbe()
 	start, expired := r.slots.Next(r.now())
 	for _, s := range start {
 		s.Decision <- nil
@@ -424,7 +439,7 @@
 // scheduleWake sets the timer for the next queued request that waits for the rate limit. The caller holds the lock.
 func (r *Receiver) scheduleWake() {
 	now := r.now()
-	at := r.slots.NextStart(now)
+	at := r.nextWake(now)
 	switch {
 	case at.IsZero():
 	case r.wakeTimer == nil:
@@ -449,8 +464,11 @@
 	defer r.mu.Unlock()
 	report := jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
 		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
-	if r.notice.Limited {
-		report.Limited, report.RateLimit, report.LimitWait = true, r.notice.RateLimit, r.slots.LimitWait(r.now())
+	if rate, limited := r.slots.RateLimit(r.now()); limited {
+		if r.notice.Limited {
+			rate = min(rate, r.notice.RateLimit)
+		}
+		report.Limited, report.RateLimit, report.LimitWait = true, rate, r.slots.LimitWait(r.now())
 	}
 	return report
 }
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -32,6 +32,9 @@
 	// decodeNotice returns what a server states about itself; nil if the platform's servers state nothing.
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 
+	// beginAttempt is the argument of WithDataCentreCounts.
+	beginAttempt func(dataCentre string) (end func())
+
 	mu     sync.Mutex
 	picker *route.MeshPicker
 	budget *route.MeshRetryBudget
@@ -114,6 +117,7 @@
 		pick := d.pick(a, f)
 		if pick.Server == nil {
 			a.recordNoServer(pick)
+			d.recordEvacuated(a)
 			break
 		}
 		out := d.requestFor(a, f, pick)
@@ -148,7 +152,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	pick := d.picker.Pick(d.replica.Table().Services[a.service], route.PickRequest{Rule: a.rule.GetName(), Rank: a.rule.GetRank(), LatencyTarget: a.rule.LatencyTarget(),
-		BodyBytes: len(f.Body), Deadline: f.Deadline, Excluded: a.excluded}, now)
+		BodyBytes: len(f.Body), Deadline: f.Deadline, Regions: a.rule.GetRegions(), Excluded: a.excluded}, now)
 	if pick.Server != nil {
 		d.picker.Start(pick.Server, now)
 	}
@@ -205,6 +209,7 @@
 
 // send forwards a request to the sidecar beside a server, or to the local receiver.
 func (d *Dispatcher) send(ctx context.Context, f *jaypitch.MeshRequest, v *schema.MeshServer) *jaypitch.MeshResponse {
+	defer d.begin(v)()
 	if v.GetAddress() == d.localAddress {
 		return d.local.Serve(ctx, f)
 	}
@@ -266,6 +271,9 @@
 		// After busy or failing the server may be chosen again: the load report of its refusal has updated the picker's estimate.
 		a.excluded = append(a.excluded, server)
 	}
+	if r.Code == jaypitch.CodeEvacuated {
+		a.excluded = append(a.excluded, d.serversBeside(server, a.service)...)
+	}
 	if r.Code == jaypitch.CodeOverloaded || r.Code == jaypitch.CodeServerLimit {
 		if a.overloaded++; a.overloaded >= maxOverloaded {
 			return false
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -16,6 +16,7 @@
 // is expected to respond first, with a preference for the sidecar's data centre. It isn't safe for concurrent use.
 type MeshPicker struct {
 	dataCentre string
+	regions    mesh.Regions
 	random     func() float64
 	servers    map[string]*serverState
 	rules      map[string]*ruleStats
@@ -81,6 +82,8 @@
 	BodyBytes int
 	// Deadline is when the request times out. A server whose rate limit has no room before is skipped.
 	Deadline time.Time
+	// Regions are the regions whose servers may be chosen; empty if all may.
+	Regions []string
 	// Excluded are the IDs of servers that must not be chosen, since an earlier attempt failed there.
 	Excluded []string
 }
@@ -123,7 +126,8 @@
 	ruleWeight = 0.05
 	// unresponsiveAfter is the time without a reply after which a sidecar with requests in progress is probed; most requests end sooner.
 	unresponsiveAfter = 250 * time.Millisecond
-	// avoidDuration is how long a server gets no requests after its sidecar reported that it is stopping or isn't beside that server.
+	// avoidDuration is how long a server gets no requests after its sidecar reported that it is stopping, isn't beside that server, or is in an
+	// evacuated data centre.
 	avoidDuration = 700 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time for which a server that refused a rule's request as overloaded gets no more of
 	// the rule's requests. Finish multiplies the bounded time by a random factor from 0.5 to 1.5.
@@ -155,8 +159,12 @@
 )
 
 // NewMeshPicker returns a picker for a sidecar of a data centre. Random returns a number in [0, 1).
-func NewMeshPicker(dataCentre string, random func() float64) *MeshPicker {
-	return &MeshPicker{dataCentre: dataCentre, random: random, servers: map[string]*serverState{}, rules: map[string]*ruleStats{}}
+func NewMeshPicker(dataCentre string, random func() float64, options ...MeshPickerOption) *MeshPicker {
+	c := &MeshPicker{dataCentre: dataCentre, random: random, servers: map[string]*serverState{}, rules: map[string]*ruleStats{}}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Pick chooses the server of a service with the lowest cost. It skips excluded servers and those whose retry-after for the rule
@@ -167,7 +175,7 @@
 		return p
 	}
 	best, next := math.Inf(1), math.Inf(1)
-	for _, v := range c.sample(s.Servers) {
+	for _, v := range c.sample(c.allowed(s.Servers, q)) {
 		if contains(q.Excluded, v.GetId()) {
 			continue
 		}
@@ -288,6 +296,9 @@
 	if t := e.ruleReports[q.Rule]; now.Before(t.until) && t.failing > failingThreshold {
 		cost *= 1 + 10*t.failing
 	}
+	if e.untried() {
+		cost *= 1 + untriedFactor*float64(e.inFlight)
+	}
 	if v.GetDataCentre() != c.dataCentre {
 		cost += c.transferCost(float64(q.BodyBytes)+c.rule(q.Rule).responseBytes, q)
 	}
@@ -386,7 +397,7 @@
 	if r.LoadReport.Mean > 0 {
 		e.ruleReports[rule] = ruleReport{mean: r.LoadReport.Mean, failing: r.LoadReport.Failing, until: now.Add(meanMaxAge)}
 	}
-	if r.LoadReport.Stopping || r.Code == jaypitch.CodeMisdirected || r.Code == jaypitch.CodeNotThisHost || r.Code == jaypitch.CodeStopping {
+	if r.LoadReport.Stopping || r.Code == jaypitch.CodeMisdirected || r.Code == jaypitch.CodeNotThisHost || r.Code == jaypitch.CodeStopping || r.Code == jaypitch.CodeEvacuated {
 		e.avoidUntil = now.Add(avoidDuration)
 	}
 	e.updateNetworkTime(r.NetworkTime)
@@ -467,7 +478,7 @@
 func (c *MeshPicker) server(v *schema.MeshServer, now time.Time) *serverState {
 	e := c.servers[v.GetId()]
 	if e == nil {
-		e = &serverState{server: v, ruleReports: map[string]ruleReport{}, retryAt: map[string]time.Time{}, rankRetryAt: map[int64]time.Time{}, coldUntil: now.Add(time.Duration(v.GetColdUs()) * time.Microsecond)}
+		e = &serverState{server: v, ruleReports: map[string]ruleReport{}, retryAt: map[string]time.Time{}, rankRetryAt: map[int64]time.Time{}, coldUntil: c.coldUntil(v, now)}
 		c.servers[v.GetId()] = e
 	}
 	return e
--- a/sidecar/loops.go
+++ b/sidecar/loops.go
@@ -42,11 +42,16 @@
 			resumedAt := c.now()
 			c.unconfirmedSince.Store(&resumedAt)
 			c.log.Warn("paused", zap.Duration("for", now-t.last))
+			c.receiver.DoubtCold()
 			c.watcher.resync()
 		}
 		t.last = now
+		c.lastTick.Store(int64(now))
 		t.endUnconfirmed()
-		c.replica.Expire(c.now())
+		if c.replica.Expire(c.now()) {
+			c.applyEvacuations()
+			c.receiver.ObserveTable()
+		}
 		if t.ticks++; t.ticks%sweepTicks == 0 {
 			t.sweep()
 		}
