Tell a saturated link from a dead sidecar

Cause: hosts behind full links were excluded 570 to 964 times in 4 s though alive, since the response to a probe waits in the link's queue for longer than the 200 ms that a probe may take.

Bytes of a response that arrive now count as life, and so does a load report that arrives during a probe. The load report tells the rate and the queue time of the receiver's link (pairs linkrate and linkwait of Jaypitch-Notice, not sent yet). Probes of one round no longer delay those of the next, since some take longer now.

Not measured on a real link.

--- a/hop/client.go
+++ b/hop/client.go
@@ -20,9 +20,6 @@
 const (
 	// maxBufferedBody is the size in bytes from which a response body is streamed instead of buffered.
 	maxBufferedBody = 256 << 10
-	// probeTimeout bounds a liveness probe. It leaves time for many round trips within a region and for one pause of a machine that is
-	// throttled by its CPU quota.
-	probeTimeout = 200 * time.Millisecond
 	// ProbePath is the path at which a sidecar responds to the liveness probes of others.
 	ProbePath = "/alive"
 )
@@ -48,6 +45,7 @@
 		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeUnknown, "the sidecar's response cannot be parsed: %s", e.Reason)
 	}
 	response.NetworkTime = c.now().Sub(started) - response.ServiceTime - response.QueueTime
+	a.Body = c.observeBody(a.Body, f)
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody))
 	if err != nil {
 		_ = a.Body.Close()
@@ -65,9 +63,9 @@
 	return response
 }
 
-// Probe checks that the sidecar at an address is alive. If the probe fails, the pool's connections to the address are closed.
-func (c *Client) Probe(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+// Probe checks that the sidecar at an address is alive and responds within a time. If the probe fails, the pool's connections to the address are closed.
+func (c *Client) Probe(ctx context.Context, address string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	a, err := c.pool.Do(ctx, address, &http1.Request{Method: http.MethodGet, Target: ProbePath, Host: address})
 	if err != nil {
--- a/hop/notice.go
+++ b/hop/notice.go
@@ -21,6 +21,10 @@
 	noticeWait = "wait"
 	// noticeLeaving is, in a response, 1 if the server stated that it is leaving.
 	noticeLeaving = "leaving"
+	// noticeLinkRate is, in a response, the rate in bytes per second at which large responses leave the receiver's host, and noticeLinkWait
+	// the time until those that were accepted have left, in microseconds.
+	noticeLinkRate = "linkrate"
+	noticeLinkWait = "linkwait"
 	// noticeCode is, in a response, a result code that older sidecars don't know. They get the code in headerResponse.
 	noticeCode = "code"
 )
@@ -54,6 +58,9 @@
 	if r.LoadReport.Limited {
 		pairs = append(pairs, pair(noticeLimit, formatRate(r.LoadReport.RateLimit)), pair(noticeWait, formatInt(r.LoadReport.LimitWait.Microseconds())))
 	}
+	if r.LoadReport.LinkRate > 0 {
+		pairs = append(pairs, pair(noticeLinkRate, formatInt(int64(r.LoadReport.LinkRate))), pair(noticeLinkWait, formatInt(r.LoadReport.LinkWait.Microseconds())))
+	}
 	if r.LoadReport.Leaving {
 		pairs = append(pairs, pair(noticeLeaving, formatBool(true)))
 	}
@@ -72,6 +79,11 @@
 	if ok && err == nil && wait >= 0 {
 		r.LoadReport.Limited, r.LoadReport.RateLimit, r.LoadReport.LimitWait = true, limit, microseconds(wait)
 	}
+	linkRate, ok := parseRate(p[noticeLinkRate])
+	linkWait, err := strconv.ParseInt(p[noticeLinkWait], 10, 64)
+	if ok && err == nil && linkWait >= 0 {
+		r.LoadReport.LinkRate, r.LoadReport.LinkWait = linkRate, microseconds(linkWait)
+	}
 	r.LoadReport.Leaving = p[noticeLeaving] == formatBool(true)
 	if code, err := strconv.Atoi(p[noticeCode]); err == nil && olderCodes[jaypitch.Code(code)] == r.Code {
 		r.Code = jaypitch.Code(code)
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -39,6 +39,8 @@
 	// sidecar refuses a request that it would complete later, or that is likely to fail, so that the sender retries it at the
 	// next best server.
 	CompleteBy time.Time
+	// OnBytes is called by the sender now and then while bytes of the response arrive; nil if nobody needs to know.
+	OnBytes func()
 	// Revision is the store's revision that the sender holds, Era its era.
 	Revision int64
 	Era      Era
@@ -116,6 +118,10 @@
 	Limited   bool
 	RateLimit float64
 	LimitWait time.Duration
+	// LinkRate is the rate in bytes per second at which the receiver sends large responses over its host's link; zero if unknown. LinkWait is
+	// the time until those that it has accepted have left.
+	LinkRate float64
+	LinkWait time.Duration
 	// Revision is the store's revision that the receiver holds, Era its era, and SourceAge the time since the store confirmed it.
 	Revision  int64
 	Era       Era
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -133,6 +133,7 @@
 	out.Revision, out.Era = p.Revision, p.Era
 	out.CompleteBy = d.completeBy(a, pick)
 	out.ExpectContinue = pick.ExpectContinue
+	out.OnBytes = func() { d.recordBytes(out.ServerID) }
 	out.LimitHeardAt, out.RateLimit = pick.LimitHeardAt, pick.RateLimit
 	return &out
 }
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -35,6 +35,7 @@
 	unreachable bool
 	// noReplySince is the latest time of a response, a successful probe, or the start of an attempt while no other was in progress.
 	noReplySince time.Time
+	life         liveness
 	// coldUntil is the time from which a server that has just started counts as warm; see coldFactor.
 	coldUntil time.Time
 	// networkTimeUS is the estimated network time of an attempt, in microseconds; zero if unknown.
@@ -340,13 +341,14 @@
 	return out
 }
 
-// RecordProbe records the result of a probe of the sidecar beside a server. It reports whether the sidecar has become unreachable
-// by this probe.
+// RecordProbe records the result of a probe of the sidecar beside a server. A failed probe doesn't count if bytes arrived from the sidecar
+// meanwhile. It reports whether the sidecar has become unreachable by this probe.
 func (c *MeshPicker) RecordProbe(id string, alive bool, now time.Time) bool {
 	e := c.servers[id]
 	if e == nil {
 		return false
 	}
+	alive = alive || e.life.heard(now)
 	lost := !alive && !e.unreachable
 	e.unreachable = !alive
 	if alive {
@@ -376,11 +378,13 @@
 	e.inFlight--
 	if r.LoadReport.Slots == 0 {
 		if r.Code == jaypitch.CodeUnreachable || r.Code == jaypitch.CodeUnknown {
-			e.unreachable = true
+			// Connections time out on a full link too. There only a probe tells whether the sidecar is alive.
+			e.unreachable = e.unreachable || !e.life.linkFull(now)
 		}
 		return
 	}
 	e.unreachable, e.avoidUntil, e.noReplySince = false, time.Time{}, now
+	e.life.recordReport(r.LoadReport, now)
 	e.limit = newServerLimit(r.LoadReport, now)
 	e.loadReport, e.inFlightAtReport, e.loadUntil = r.LoadReport, e.inFlight, now.Add(meshLoadMaxAge)
 	if r.LoadReport.Mean > 0 {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -140,7 +140,7 @@
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	for _, l := range []interface{ run(context.Context) }{c.watcher, c.peerPoller, &ticker{sidecar: c}, &reloader{sidecar: c}, &prober{sidecar: c}} {
+	for _, l := range []interface{ run(context.Context) }{c.watcher, c.peerPoller, &ticker{sidecar: c}, &reloader{sidecar: c}, &prober{sidecar: c, inProgress: map[string]bool{}}} {
 		c.wg.Add(1)
 		go (&task{wg: &c.wg, loop: l}).run(runCtx)
 	}
