--- a/link/scheduler.go
+++ b/link/scheduler.go
@@ -141,13 +141,6 @@
 	t.waiting = bytes
 }
 
-// Pass records bytes of a transfer that are passed on at once, since they are few.
-func (s *Scheduler) Pass(t *Transfer, bytes int64, now time.Time) {
-	s.Charge(bytes, now)
-	t.passed += bytes
-	t.remaining = max(0, t.remaining-bytes)
-}
-
 // Next returns the transfers whose waiting bytes may be passed on now, and those that are to be broken off, since they can't end before
 // their deadline any more. The earliest target deadline goes first among those that can still meet it.
 func (s *Scheduler) Next(now time.Time) (pass, breakOff []*Transfer) {
@@ -162,7 +155,9 @@
 		if t == nil {
 			break
 		}
-		s.Pass(t, t.waiting, now)
+		s.Charge(t.waiting, now)
+		t.passed += t.waiting
+		t.remaining = max(0, t.remaining-t.waiting)
 		t.waiting = 0
 		pass = append(pass, t)
 	}
@@ -193,6 +188,12 @@
 	}
 }
 
+// EndShort removes a transfer whose bytes were charged instead of passed on, since they were few.
+func (s *Scheduler) EndShort(t *Transfer, bytes int64, complete bool) {
+	t.passed = bytes
+	s.End(t, complete)
+}
+
 // Backlog returns the time until all that was accepted or passed on has left.
 func (s *Scheduler) Backlog(now time.Time) time.Duration {
 	return later(s.freeAt, now).Sub(now) + s.timeOf(s.Queued())
--- a/transfer/gate.go
+++ b/transfer/gate.go
@@ -4,9 +4,11 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
+	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/link"
 )
 
@@ -128,16 +130,6 @@
 	t.gate.scheduler.SetLength(t.transfer, length, t.gate.now())
 }
 
-// Pass records bytes that are passed on at once.
-func (t *Transfer) Pass(bytes int) {
-	if t == nil {
-		return
-	}
-	t.gate.mu.Lock()
-	defer t.gate.mu.Unlock()
-	t.gate.scheduler.Pass(t.transfer, int64(bytes), t.gate.now())
-}
-
 // Wait waits until bytes may be passed on. It fails if the transfer is to be broken off, or if ctx ends.
 func (t *Transfer) Wait(ctx context.Context, bytes int) error {
 	if t == nil {
@@ -160,6 +152,17 @@
 	}
 }
 
+// EndShort removes the transfer of a response that has no stream. A successful one counts towards the mean of its rule.
+func (t *Transfer) EndShort(r *jaypitch.MeshResponse) {
+	if t == nil {
+		return
+	}
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	t.gate.scheduler.EndShort(t.transfer, int64(len(r.Body)), r.Execution == jaypitch.Executed && r.Status < http.StatusMultipleChoices && len(r.Body) > 0)
+	t.gate.decideLocked()
+}
+
 // End removes the transfer. Its length counts towards the mean of its rule if it is complete. It may be called again, without effect.
 func (t *Transfer) End(complete bool) {
 	if t == nil {
