Choose servers of downloads by the link of their host

Cause: the picker knew slots only, so downloads went to hosts whose link had no room.

The load report tells the rate and queue time of the receiver's link. The picker adds the time until a download has left to its cost, counts the downloads that it started since the report, and skips a server on whose link the response can't leave within its target. Code 131 (link_full) is for refusals by a link; older builds get 105. Other requests are chosen as before.

Measured: TestPickByLink; the other tests of route pass unchanged.

--- a/hop/notice.go
+++ b/hop/notice.go
@@ -21,6 +21,8 @@
 	noticeWait = "wait"
 	// noticeLeaving is, in a response, 1 if the server stated that it is leaving.
 	noticeLeaving = "leaving"
+	// noticeDownload is, in a request, 1 if the response is probably large.
+	noticeDownload = "download"
 	// noticeLinkRate is, in a response, the rate in bytes per second at which large responses leave the receiver's host, and noticeLinkWait
 	// the time until those that were accepted have left, in microseconds.
 	noticeLinkRate = "linkrate"
@@ -30,11 +32,14 @@
 )
 
 // olderCodes are the codes that older sidecars get instead of a code that they don't know.
-var olderCodes = map[jaypitch.Code]jaypitch.Code{jaypitch.CodeServerLimit: jaypitch.CodeOverloaded}
+var olderCodes = map[jaypitch.Code]jaypitch.Code{jaypitch.CodeServerLimit: jaypitch.CodeOverloaded, jaypitch.CodeLinkFull: jaypitch.CodeOverloaded}
 
 // formatRequestNotice returns the value of headerNotice for a request, or an empty string if there is nothing to tell.
 func formatRequestNotice(f *jaypitch.MeshRequest, now time.Time) string {
 	pairs := eraPair(f.Era)
+	if f.Download {
+		pairs = append(pairs, pair(noticeDownload, formatBool(true)))
+	}
 	if !f.LimitHeardAt.IsZero() {
 		pairs = append(pairs, pair(noticeLimit, formatRate(f.RateLimit)), pair(noticeAge, formatInt(now.Sub(f.LimitHeardAt).Microseconds())))
 	}
@@ -45,6 +50,7 @@
 func parseRequestNotice(text string, f *jaypitch.MeshRequest, now time.Time) {
 	p := parsePairs(text)
 	f.Era = parseEra(p[noticeEra])
+	f.Download = p[noticeDownload] == formatBool(true)
 	limit, ok := parseRate(p[noticeLimit])
 	age, err := strconv.ParseInt(p[noticeAge], 10, 64)
 	if ok && err == nil && age >= 0 {
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -27,6 +27,10 @@
 	Rank int64
 	// Idempotent is true if the request may be executed more than once.
 	Idempotent bool
+	// Download is true if the response is probably large. It is passed on as it arrives.
+	Download bool
+	// Local is true if the server is on the sender's host, so that request and response don't use the host's link.
+	Local bool
 	// ServerID is the ID of the only server that may execute the request.
 	ServerID string
 	// CallerService is the service of the host that sent the request.
@@ -50,6 +54,15 @@
 	RateLimit    float64
 }
 
+// minStreamedBytes is the shortest response of a download that is streamed.
+const minStreamedBytes = 16 << 10
+
+// StreamsResponse reports whether the response of a backend server, with a status and a length in bytes, is passed on as it arrives. Short ones
+// and errors are buffered, so that the sender may retry. A length below zero is unknown.
+func (f *MeshRequest) StreamsResponse(status int, length int64) bool {
+	return f.Download && f.Method != http.MethodHead && status < http.StatusInternalServerError && (length < 0 || length >= minStreamedBytes)
+}
+
 // Position returns the position of the sender's replica.
 func (f *MeshRequest) Position() Position {
 	return Position{Era: f.Era, Revision: f.Revision}
@@ -73,7 +86,11 @@
 	Header http.Header
 	Body   []byte
 	// Stream follows Body in a long response; nil otherwise. Its Read fails if the response is truncated.
-	Stream     Stream
+	Stream Stream
+	// Length is the number of bytes of Stream if Body is empty; zero if it is unknown.
+	Length int64
+	// Download is true if Stream is broken off once the reader takes nothing for a time, and is passed on as it arrives.
+	Download   bool
 	LoadReport MeshLoadReport
 	// ServiceTime is the time that the server took for the request.
 	ServiceTime time.Duration
--- a/route/mesh_liveness_test.go
+++ b/route/mesh_liveness_test.go
@@ -54,3 +54,26 @@
 		}
 	})
 }
+
+// TestPickByLink guards against downloads that go to a server whose host's link is busy while that of another is free, and against refusals of other
+// requests for that.
+func TestPickByLink(t *testing.T) {
+	is := is.New(t)
+	picker, s := newMeshPicker(), meshService(2, 0)
+	executed := jaypitch.MeshResponse{Execution: jaypitch.Executed, ServiceTime: 50 * time.Millisecond, Length: 90_000}
+	mean := 50 * time.Millisecond
+	finishRequest(picker, s.Servers[0], jaypitch.MeshLoadReport{Mean: mean, LinkRate: 1_700_000, LinkWait: 300 * time.Millisecond}, executed, start)
+	finishRequest(picker, s.Servers[1], jaypitch.MeshLoadReport{Mean: mean, LinkRate: 1_700_000, InProgress: 5}, executed, start)
+	download := PickRequest{Rule: "r", LatencyTarget: 500 * time.Millisecond, Download: true, TargetDeadline: start.Add(500 * time.Millisecond)}
+	is.Equal(picker.Pick(s, pickRequest, start).Server.GetId(), "here_0")
+	is.Equal(picker.Pick(s, download, start).Server.GetId(), "here_1")
+	for range 200 {
+		for _, v := range s.Servers {
+			picker.StartDownload(v, "r", start)
+		}
+	}
+	p := picker.Pick(s, download, start)
+	is.True(p.Server == nil && p.LinkFull && p.RetryAfter > 0)
+	is.True(picker.Pick(s, pickRequest, start).Server != nil)
+	is.True(picker.Pick(s, PickRequest{Rule: "r", Download: true, TargetDeadline: start.Add(2 * time.Second)}, start.Add(2*time.Second)).Server != nil)
+}
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -36,6 +36,7 @@
 	// noReplySince is the latest time of a response, a successful probe, or the start of an attempt while no other was in progress.
 	noReplySince time.Time
 	life         liveness
+	link         linkEstimate
 	// coldUntil is the time from which a server that has just started counts as warm; see coldFactor.
 	coldUntil time.Time
 	// networkTimeUS is the estimated network time of an attempt, in microseconds; zero if unknown.
@@ -82,6 +83,9 @@
 	BodyBytes int
 	// Deadline is when the request times out. A server whose rate limit has no room before is skipped.
 	Deadline time.Time
+	// Download is true if the response is probably large. A server on whose link it can't leave before TargetDeadline is skipped.
+	Download       bool
+	TargetDeadline time.Time
 	// Excluded are the IDs of servers that must not be chosen, since an earlier attempt failed there.
 	Excluded []string
 }
@@ -102,6 +106,8 @@
 	RetryAfter time.Duration
 	// Limited is true if a server was skipped for its rate limit.
 	Limited bool
+	// LinkFull is true if a server was skipped for the link of its host.
+	LinkFull bool
 	// LimitHeardAt and RateLimit are what is known of the chosen server's rate limit; LimitHeardAt is zero if it names none.
 	LimitHeardAt time.Time
 	RateLimit    float64
@@ -177,6 +183,9 @@
 		if w := e.limit.wait(now); w > 0 && now.Add(w+c.meanTimeAt(e, q.Rule, now)).After(q.Deadline) {
 			wait, limited = max(w, wait), true
 		}
+		if w := c.linkRetryWait(e, q, now); w > 0 {
+			wait, p.LinkFull = max(w, wait), true
+		}
 		if wait > 0 {
 			p.skip(wait, limited)
 			continue
@@ -191,7 +200,7 @@
 	if p.Server == nil {
 		return p
 	}
-	p.RetryAfter, p.Limited = 0, false
+	p.RetryAfter, p.Limited, p.LinkFull = 0, false, false
 	limit := c.server(p.Server, now).limit
 	p.LimitHeardAt, p.RateLimit = limit.heardAt, limit.perSecond
 	p.ExpectContinue = q.BodyBytes >= minExpectContinueBytes && p.Server.GetDataCentre() != c.dataCentre && c.server(p.Server, now).requests(now) >= float64(p.Server.GetSlots())
@@ -285,7 +294,7 @@
 	}
 	mean := c.meanAt(e, q.Rule, now)
 	utilisation := (e.requests(now) + 1) / float64(max(1, v.GetSlots()))
-	cost := mean*(1+busyFactor*utilisation+max(0, utilisation-1)) + e.networkTimeUS + float64(e.limit.wait(now).Microseconds())
+	cost := mean*(1+busyFactor*utilisation+max(0, utilisation-1)) + e.networkTimeUS + float64((e.limit.wait(now) + c.linkTime(e, q, now)).Microseconds())
 	if t := e.ruleReports[q.Rule]; now.Before(t.until) && t.failing > failingThreshold {
 		cost *= 1 + 10*t.failing
 	}
@@ -385,7 +394,7 @@
 	}
 	e.unreachable, e.avoidUntil, e.noReplySince = false, time.Time{}, now
 	e.life.recordReport(r.LoadReport, now)
-	e.limit = newServerLimit(r.LoadReport, now)
+	e.limit, e.link = newServerLimit(r.LoadReport, now), newLinkEstimate(r.LoadReport, now)
 	e.loadReport, e.inFlightAtReport, e.loadUntil = r.LoadReport, e.inFlight, now.Add(meshLoadMaxAge)
 	if r.LoadReport.Mean > 0 {
 		e.ruleReports[rule] = ruleReport{mean: r.LoadReport.Mean, failing: r.LoadReport.Failing, until: now.Add(meanMaxAge)}
@@ -411,14 +420,14 @@
 			s.meanServiceUS = float64(r.ServiceTime.Microseconds())
 		}
 		s.meanServiceUS += ruleWeight * (float64(r.ServiceTime.Microseconds()) - s.meanServiceUS)
-		s.responseBytes += ruleWeight * (float64(len(r.Body)) - s.responseBytes)
+		s.responseBytes += ruleWeight * (bodyBytes(r) - s.responseBytes)
 	}
 }
 
 // longestRetryAfter returns the longest time for which a server gets no requests of a rule after a refusal with a code; zero if it gets more.
 func longestRetryAfter(c jaypitch.Code) time.Duration {
 	switch c {
-	case jaypitch.CodeOverloaded:
+	case jaypitch.CodeOverloaded, jaypitch.CodeLinkFull:
 		return maxRetryAfter
 	case jaypitch.CodeServerLimit:
 		return maxLimitRetryAfter
