Stream downloads, and schedule large responses on the host's link

Cause: responses of downloads were buffered up to 256 KiB in both sidecars, held their slot until their reader had them, and filled the links of their hosts.

With link_mbps in the settings, the receiver refuses a download (131) before it takes a slot if the outgoing link has no room for it within its target, and the sender before it sends the attempt if its own incoming link has none. Responses of 16 KiB and more to other hosts wait for their turn on the link; all other bytes are charged. Requests within one host don't use the link.

The response to a rule's download is passed on as it arrives: 64 KiB are held at the receiver, 16 KiB at the sender, with the length if the server told it. The slot is free once the server has sent all. A download whose reader takes nothing for 2 s is broken off. Errors and responses under 16 KiB are buffered, so that they may be retried; once a stream has begun there is no retry. A hedge can't transfer twice, since its attempt and the first end each other at the head.

A stream's context now ends when the stream is closed; before, it ended when the dispatcher returned.

Measured: tests of inbound, outbound and hop with the race detector; none of the existing tests was changed. Not measured on real links.

--- a/hop/client.go
+++ b/hop/client.go
@@ -32,7 +32,7 @@
 }
 
 // Forward sends a request to the sidecar at an address and returns its response, or one with the code of the failure. A body of
-// maxBufferedBody bytes or more continues in the response's Stream, which the caller closes.
+// maxBufferedBody bytes or more, and all of a download, continues in the response's Stream, which the caller closes.
 func (c *Client) Forward(ctx context.Context, address string, f *jaypitch.MeshRequest) *jaypitch.MeshResponse {
 	started := c.now()
 	a, err := c.pool.Do(ctx, address, c.request(f))
@@ -46,6 +46,10 @@
 	}
 	response.NetworkTime = c.now().Sub(started) - response.ServiceTime - response.QueueTime
 	a.Body = c.observeBody(a.Body, f)
+	if response.Execution == jaypitch.Executed && f.StreamsResponse(a.StatusCode, a.ContentLength) {
+		response.Stream, response.Length, response.Download = a.Body, max(0, a.ContentLength), true
+		return response
+	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody))
 	if err != nil {
 		_ = a.Body.Close()
--- a/hop/server.go
+++ b/hop/server.go
@@ -132,7 +132,13 @@
 		return err
 	}
 	defer r.Stream.Close()
+	if r.Length > 0 {
+		h[headerLength] = []string{strconv.FormatInt(r.Length, 10)}
+	}
 	w.WriteHeader(status)
+	if r.Download {
+		return copyDownload(w, r.Stream)
+	}
 	if _, err := w.Write(r.Body); err != nil {
 		return err
 	}
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jaypitch/jaypitch"
@@ -29,6 +30,9 @@
 	now       func() time.Time
 	record    func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, queueTime time.Duration)
 	random    func() float64
+	links     links
+	// streams is the number of downloads that are being read from the server.
+	streams atomic.Int64
 
 	mu       sync.Mutex
 	slots    *admit.Slots
@@ -113,12 +117,17 @@
 	w := &admit.SlotRequest{Rank: f.Rank, Rule: f.Rule, Deadline: f.Deadline, TargetDeadline: f.TargetDeadline,
 		CompleteBy: f.CompleteBy, Decision: make(chan *jaypitch.Error, 1)}
 	server := r.replica.Table().Servers[f.ServerID]
-	response := r.admit(ctx, f, w)
+	transfer, response := r.links.admitTransfer(f)
+	if response == nil {
+		response = r.admit(ctx, f, w)
+	}
 	queueTime := r.now().Sub(arrived)
 	if response == nil {
 		response = r.send(ctx, f, w, server)
 	}
+	r.links.finish(ctx, f, response, transfer)
 	response.LoadReport, response.QueueTime = r.loadReport(f), queueTime
+	r.links.report(f, &response.LoadReport)
 	r.record(f, response, queueTime)
 	return response
 }
@@ -256,6 +265,10 @@
 	}
 	response := r.classify(f, a)
 	r.observeNotice(f, a.Header, response, server)
+	if response.Execution == jaypitch.Executed && f.StreamsResponse(a.StatusCode, a.ContentLength) {
+		r.stream(w, a, response, started, cancel)
+		return response
+	}
 	if response.Execution == jaypitch.Executed {
 		body, more, err := readBody(a)
 		response.Body = body
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -31,6 +31,7 @@
 	record       func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int)
 	// decodeNotice returns what a server states about itself; nil if the platform's servers state nothing.
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
+	links        links
 
 	mu     sync.Mutex
 	picker *route.MeshPicker
@@ -50,7 +51,7 @@
 	excluded []string
 	// sent counts all attempts, arrived those that may have reached a server.
 	sent, arrived int
-	// overloaded counts the attempts that were refused with CodeOverloaded or CodeServerLimit.
+	// overloaded counts the attempts that were refused with CodeOverloaded, CodeServerLimit or CodeLinkFull.
 	overloaded int
 	// best is the response to return unless a further attempt has a better one; see keepBest.
 	best *jaypitch.MeshResponse
@@ -107,7 +108,6 @@
 // responseGrace after the deadline.
 func (d *Dispatcher) Do(ctx context.Context, f *jaypitch.MeshRequest, rule *mesh.Rule, service string) *jaypitch.MeshResponse {
 	ctx, cancel := context.WithTimeout(ctx, f.Deadline.Sub(d.now())+responseGrace)
-	defer cancel()
 	a := &attempts{rule: rule, service: service}
 	d.recordRequest(service)
 	for a.sent < attemptLimit {
@@ -122,7 +122,9 @@
 			break
 		}
 	}
-	return a.result()
+	r := a.result()
+	endWithStream(r, cancel)
+	return r
 }
 
 // requestFor returns a copy of the request for the sidecar beside the chosen server.
@@ -149,9 +151,12 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	pick := d.picker.Pick(d.replica.Table().Services[a.service], route.PickRequest{Rule: a.rule.GetName(), Rank: a.rule.GetRank(), LatencyTarget: a.rule.LatencyTarget(),
-		BodyBytes: len(f.Body), Deadline: f.Deadline, Excluded: a.excluded}, now)
+		BodyBytes: len(f.Body), Deadline: f.Deadline, Download: f.Download, TargetDeadline: f.TargetDeadline, Excluded: a.excluded}, now)
 	if pick.Server != nil {
 		d.picker.Start(pick.Server, now)
+		if f.Download {
+			d.picker.StartDownload(pick.Server, f.Rule, now)
+		}
 	}
 	return pick
 }
@@ -189,7 +194,6 @@
 		return r
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	u := &hedgeable{ctx: ctx, cancel: cancel, attempts: a, request: f}
 	d.register(v.GetId(), u)
 	r := d.send(attemptCtx, f, v)
@@ -201,15 +205,17 @@
 	}
 	a.sent++
 	d.record(f, r, a.sent)
+	endWithStream(r, func() { cancel(nil) })
 	return second.selectResponse(a, r)
 }
 
 // send forwards a request to the sidecar beside a server, or to the local receiver.
 func (d *Dispatcher) send(ctx context.Context, f *jaypitch.MeshRequest, v *schema.MeshServer) *jaypitch.MeshResponse {
 	if v.GetAddress() == d.localAddress {
+		f.Local = true
 		return d.local.Serve(ctx, f)
 	}
-	r := d.forwarder.Forward(ctx, d.peerAddress(v.GetAddress()), f)
+	r := d.forward(ctx, f, v)
 	if r.LoadReport.Leaving || d.statesLeaving(r) {
 		d.replica.RecordLeaving(v, d.now())
 	}
@@ -267,7 +273,7 @@
 		// After busy or failing the server may be chosen again: the load report of its refusal has updated the picker's estimate.
 		a.excluded = append(a.excluded, server)
 	}
-	if r.Code == jaypitch.CodeOverloaded || r.Code == jaypitch.CodeServerLimit {
+	if r.Code == jaypitch.CodeOverloaded || r.Code == jaypitch.CodeServerLimit || r.Code == jaypitch.CodeLinkFull {
 		if a.overloaded++; a.overloaded >= maxOverloaded {
 			return false
 		}
@@ -307,8 +313,11 @@
 func (a *attempts) recordNoServer(p route.MeshPick) {
 	if p.RetryAfter > 0 {
 		code := jaypitch.CodeOverloaded
-		if p.Limited {
+		switch {
+		case p.Limited:
 			code = jaypitch.CodeServerLimit
+		case p.LinkFull:
+			code = jaypitch.CodeLinkFull
 		}
 		a.keepBest(jaypitch.NotExecutedResponse(code, "no server of service %q has room for rule %q", a.service, a.rule.GetName()))
 		a.retryAfter = max(a.retryAfter, p.RetryAfter)
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -60,6 +60,8 @@
 	Target time.Duration
 	// Overhead is the time of the request outside the backend server.
 	Overhead time.Duration
+	// BrokenOff is true if the response was a stream that ended before its end.
+	BrokenOff bool
 }
 
 const (
@@ -97,6 +99,7 @@
 	rec.Response = response
 	rec.Status = h.status(response)
 	err := h.write(w, rec, response)
+	rec.BrokenOff = err != nil && response.Stream != nil
 	rec.Took = h.now().Sub(arrived)
 	rec.Overhead = rec.Took - response.ServiceTime
 	h.record(rec)
@@ -132,7 +135,7 @@
 	}
 	defer h.bodyBudget.release(len(body))
 	f := &jaypitch.MeshRequest{ID: rec.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: hop.EndToEndHeader(r.Header), Body: body,
-		Rule: rule.GetName(), Rank: rule.GetRank(), Idempotent: rule.GetIdempotent(), CallerService: local.Service}
+		Rule: rule.GetName(), Rank: rule.GetRank(), Idempotent: rule.GetIdempotent(), Download: rule.GetDownload(), CallerService: local.Service}
 	h.setDeadlines(f, r, rule, arrived)
 	if !local.EndsAt.IsZero() && f.Deadline.After(local.EndsAt) {
 		return jaypitch.NotExecutedResponse(jaypitch.CodeStopping, "the sidecar may stop before the deadline of the request")
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -26,6 +26,7 @@
 	undecodableEntries prometheus.Counter
 	serverConnections  prometheus.Counter
 	serverRequests     *prometheus.CounterVec
+	brokenStreams      prometheus.Counter
 	restores           prometheus.Counter
 }
 
@@ -46,7 +47,8 @@
 		restores:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_restores_total", Help: "Times that the store came back from a copy, as the rise of its era shows."}),
 		serverRequests:     prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_requests_total", Help: "Requests sent to the backend server, by whether it named a rate limit then."}, []string{"limited"}),
 	}
-	m.registry.MustRegister(m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
+	m.brokenStreams = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "streams_broken_off_total", Help: "Streamed responses that were broken off before their end, by the client, by a server, or for a client that read nothing."})
+	m.registry.MustRegister(m.brokenStreams, m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
 	gauge := func(name, help string, f func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
 	}
@@ -123,6 +125,9 @@
 	if r.Response.Execution == jaypitch.Executed {
 		c.metrics.overhead.WithLabelValues(rank).Observe(r.Overhead.Seconds())
 	}
+	if r.BrokenOff {
+		c.metrics.brokenStreams.Inc()
+	}
 	kind := logline.Answered
 	if r.Response.Code != jaypitch.CodeOK {
 		kind = logline.Failed
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -65,6 +65,7 @@
 	metrics      *metrics
 	tracker      *evidence.Tracker
 	burnCounter  burnCounter
+	link         hostLink
 	// appliedAt is when the current configuration was applied; nil before the first one.
 	appliedAt atomic.Pointer[time.Time]
 	// peerPort is the port on which the sidecars of the mesh listen for each other.
@@ -112,11 +113,14 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "parsing the retry ratio")
 	}
+	if err := c.setLink(s); err != nil {
+		return nil, err
+	}
 	c.backendPool = http1.NewPool(c.now, http1.WithOnDial(c.metrics.recordConnection))
 	// Receivers identify this sidecar by the local address, to poll it for newer revisions.
 	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()))
 	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.HeaderNames, c.replica, c.confirmation.age, c.backendPool, c.now, c.recordReceived,
-		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice))
+		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice), inbound.WithLink(c.link.incoming, c.link.outgoing))
 	control := http.NewServeMux()
 	control.Handle(meshpeer.NewHandler(c.replica, c.confirmation.age, c.find, c.burnCounts, c.recordSender))
 	control.HandleFunc("GET "+hop.ProbePath, func(http.ResponseWriter, *http.Request) {})
@@ -125,7 +129,7 @@
 	retryBudget := route.NewMeshRetryBudget(ratio, s.GetBounds().GetRetrySlack(), micros(s.GetBounds().GetRetryWindowUs()))
 	c.hopClient = hop.NewClient(c.peerPool, c.now)
 	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
-		outbound.WithNotices(p.DecodeNotice))
+		outbound.WithNotices(p.DecodeNotice), outbound.WithLink(c.link.incoming, c.link.outgoing))
 	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, s.GetSidecar().GetMemoryMb()*megabyte/bodyMemoryDivisor, c.tracker, c.now, c.recordRequest)
 	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, seeded: c.seeded, starting: c.starting, readsAllPages: c.readsAllPages, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
@@ -188,7 +192,7 @@
 		time.Sleep(idleBeforeClose / 4)
 		now := c.now()
 		inProgress, queued, _ := c.receiver.Counts()
-		if c.handler.InProgress() > 0 || inProgress+queued > 0 {
+		if c.handler.InProgress() > 0 || inProgress+queued+c.receiver.Streams() > 0 {
 			idleSince = now
 		}
 		if now.After(atLeast) && now.Sub(idleSince) > idleBeforeClose {
