--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -125,9 +125,11 @@
 	if response == nil {
 		response = r.send(ctx, f, w, server)
 	}
-	r.links.finish(ctx, f, response, transfer)
 	response.LoadReport, response.QueueTime = r.loadReport(f), queueTime
-	r.links.report(f, &response.LoadReport)
+	if !f.Local && (f.Download || r.replica.Table().Downloads) {
+		r.links.finish(ctx, f, response, transfer)
+		r.links.report(f, &response.LoadReport)
+	}
 	r.record(f, response, queueTime)
 	return response
 }
--- a/inbound/transfer.go
+++ b/inbound/transfer.go
@@ -51,6 +51,8 @@
 	heldBytes = 64 << 10
 	// minReadBytes is how many bytes have to be free for a further read from the server, so that reads aren't short while the reader is slow.
 	minReadBytes = 4 << 10
+	// minReportedWait is the queue time of the link from which it is reported with every response, so that senders know why a probe takes longer.
+	minReportedWait = 50 * time.Millisecond
 )
 
 var (
@@ -84,9 +86,6 @@
 
 // finish charges the link with a request and its response, and makes a large response wait for its turn. It ends a transfer that isn't needed.
 func (l *links) finish(ctx context.Context, f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, t *transfer.Transfer) {
-	if f.Local {
-		return
-	}
 	l.incoming.Charge(len(f.Body) + transfer.HeadBytes)
 	l.outgoing.Charge(transfer.HeadBytes)
 	if r.Stream == nil && len(r.Body) < transfer.ChunkBytes || l.outgoing == nil {
@@ -113,10 +112,10 @@
 	r.Stream = transfer.NewStream(ctx, r.Stream, t)
 }
 
-// report adds the state of the link to the load report for a request of another host.
+// report adds the state of the link to a load report, if it matters to the sender.
 func (l *links) report(f *jaypitch.MeshRequest, report *jaypitch.MeshLoadReport) {
-	if !f.Local {
-		report.LinkRate, report.LinkWait = l.outgoing.Report()
+	if rate, wait := l.outgoing.Report(); f.Download || wait >= minReportedWait {
+		report.LinkRate, report.LinkWait = rate, wait
 	}
 }
 
--- a/inbound/transfer_test.go
+++ b/inbound/transfer_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/schema"
 	"github.com/jaypitch/jaypitch/standin"
 	"github.com/jaypitch/jaypitch/transfer"
 )
@@ -90,6 +91,7 @@
 func TestLinkAdmission(t *testing.T) {
 	is := is.New(t)
 	g := newFixture(t, 4)
+	g.replica.Merge(jaypitch.MeshUpdate{Revision: 3, Config: &schema.MeshConfig{Version: 1, Rules: []*schema.MeshRule{{Name: "d", Host: "h", Prefix: "/", Download: true}}}}, time.Now())
 	outgoing := transfer.NewGate(1, time.Now)
 	WithLink(transfer.NewGate(1, time.Now), outgoing)(g.receiver)
 	serve := func(id string, local, download bool) *jaypitch.MeshResponse {
@@ -114,6 +116,7 @@
 	is.Equal(local.LoadReport.LinkRate, 0.0)
 	other := serve("fourth", false, false)
 	is.Equal(other.Execution, jaypitch.Executed)
+	is.True(other.LoadReport.LinkRate > 0) // the link is full
 	body, err := io.ReadAll(other.Stream)
 	is.NoErr(err)
 	is.Equal(string(body), strings.Repeat("x", 40_000)+"ok")
--- a/link/scheduler.go
+++ b/link/scheduler.go
@@ -34,6 +34,8 @@
 	// passed counts the bytes that were passed on, remaining those that are expected to follow.
 	passed, remaining int64
 	lengthKnown       bool
+	// activeAt is when the response began or bytes were last passed on; zero before.
+	activeAt time.Time
 	// waiting is the number of bytes that wait to be passed on; zero if none do.
 	waiting int64
 }
@@ -55,6 +57,10 @@
 	// queueShare is the share of the time up to the target deadline that an accepted transfer may be expected to wait for the link. Waiting
 	// transfers hold memory, and slots of the server, which short calls need. See docs/design/10-links.md.
 	queueShare = 0.8
+	// maxChargedLag bounds the time for which charged bytes keep those of transfers back. A request with a long body shares the link with them.
+	maxChargedLag = 250 * time.Millisecond
+	// stallTime is the time without a byte from which a transfer doesn't count for the expected queue time, since its client or its server is slow.
+	stallTime = 150 * time.Millisecond
 	// initialBytes and initialStartTime are assumed before the first transfer of a rule.
 	initialBytes     = 64 << 10
 	initialStartTime = 0.05
@@ -74,7 +80,11 @@
 
 // Charge records bytes that are passed on at once.
 func (s *Scheduler) Charge(bytes int64, now time.Time) {
-	s.freeAt = later(s.freeAt, now).Add(s.timeOf(bytes))
+	at := later(s.freeAt, now).Add(s.timeOf(bytes))
+	if longest := later(s.freeAt, now.Add(maxChargedLag)); at.After(longest) {
+		at = longest
+	}
+	s.freeAt = at
 }
 
 // Admit accepts a transfer, or returns the time after which it may be accepted. A transfer is accepted if it is expected to leave within its
@@ -87,7 +97,7 @@
 		if o.TargetDeadline.After(t.TargetDeadline) {
 			continue
 		}
-		at = at.Add(s.timeOf(o.remaining))
+		at = at.Add(s.timeOf(o.expected(now)))
 	}
 	startsAt := later(at, now.Add(time.Duration(r.startTime*float64(time.Second))))
 	latest := now.Add(time.Duration(float64(t.TargetDeadline.Sub(now)) * queueShare))
@@ -97,7 +107,7 @@
 	if over := startsAt.Add(need).Sub(t.TargetDeadline); over > 0 {
 		return over, false
 	}
-	if over := s.delays(t, at.Add(need), need); over > 0 {
+	if over := s.delays(t, at.Add(need), need, now); over > 0 {
 		return over, false
 	}
 	t.remaining, t.acceptedAt = int64(r.bytes), now
@@ -107,12 +117,12 @@
 
 // delays returns by how much a transfer would make an accepted one miss its target; zero if none. Those with a later target deadline than t
 // begin at a time instead of need before.
-func (s *Scheduler) delays(t *Transfer, at time.Time, need time.Duration) time.Duration {
+func (s *Scheduler) delays(t *Transfer, at time.Time, need time.Duration, now time.Time) time.Duration {
 	for _, o := range s.transfers {
 		if !o.TargetDeadline.After(t.TargetDeadline) {
 			continue
 		}
-		at = at.Add(s.timeOf(o.remaining))
+		at = at.Add(s.timeOf(o.expected(now)))
 		if over := at.Sub(o.TargetDeadline); over > 0 && over <= need {
 			return over
 		}
@@ -130,6 +140,7 @@
 // SetLength records that a response begins, and its length; negative if it is unknown.
 func (s *Scheduler) SetLength(t *Transfer, length int64, now time.Time) {
 	r := s.rule(t.Rule)
+	t.activeAt = now
 	r.startTime += statsWeight * (now.Sub(t.acceptedAt).Seconds() - r.startTime)
 	if length >= 0 {
 		t.remaining, t.lengthKnown = length-t.passed, true
@@ -155,7 +166,8 @@
 		if t == nil {
 			break
 		}
-		s.Charge(t.waiting, now)
+		s.freeAt = later(s.freeAt, now).Add(s.timeOf(t.waiting))
+		t.activeAt = now
 		t.passed += t.waiting
 		t.remaining = max(0, t.remaining-t.waiting)
 		t.waiting = 0
@@ -196,7 +208,11 @@
 
 // Backlog returns the time until all that was accepted or passed on has left.
 func (s *Scheduler) Backlog(now time.Time) time.Duration {
-	return later(s.freeAt, now).Sub(now) + s.timeOf(s.Queued())
+	sum := int64(0)
+	for _, t := range s.transfers {
+		sum += t.expected(now)
+	}
+	return later(s.freeAt, now).Sub(now) + s.timeOf(sum)
 }
 
 // Queued returns the number of bytes that were accepted and not passed on yet.
@@ -213,6 +229,14 @@
 	return len(s.transfers)
 }
 
+// expected returns the number of bytes that are expected to follow soon.
+func (t *Transfer) expected(now time.Time) int64 {
+	if t.waiting == 0 && !t.activeAt.IsZero() && now.Sub(t.activeAt) > stallTime {
+		return 0
+	}
+	return t.remaining
+}
+
 // first returns the transfer whose waiting bytes are passed on next; nil if none wait.
 func (s *Scheduler) first(now time.Time) *Transfer {
 	var late *Transfer
--- a/link/scheduler_test.go
+++ b/link/scheduler_test.go
@@ -73,3 +73,20 @@
 	s.End(second, false)
 	is.Equal(s.Queued(), int64(0))
 }
+
+// TestStalledTransfers guards against downloads that are refused because of others whose clients don't read, and against long requests that keep
+// downloads back for seconds.
+func TestStalledTransfers(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler(testMegabits)
+	for range 10 {
+		s.Begin(newTransfer(400*time.Millisecond), 500_000, testStart)
+	}
+	is.True(s.Backlog(testStart) > 2*time.Second)
+	now := testStart.Add(stallTime + 1)
+	is.Equal(s.Backlog(now), time.Duration(0))
+	_, ok := s.Admit(newTransfer(500*time.Millisecond), now)
+	is.True(ok)
+	s.Charge(60_000_000, now)
+	is.True(s.freeAt.Sub(now) <= maxChargedLag)
+}
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -16,6 +16,8 @@
 	// Version is the version of the configuration; zero if the replica has none.
 	Version int64
 	Limits  *schema.MeshLimits
+	// Downloads is true if the configuration has a rule with large responses.
+	Downloads bool
 	// Services holds the services that have servers for new requests, by name.
 	Services map[string]*Service
 	// Servers holds all servers in use by ID, including draining ones.
@@ -51,6 +53,7 @@
 func newTable(c *schema.MeshConfig, rules ruleIndex, servers []*schema.MeshServer) *Table {
 	t := &Table{Version: c.GetVersion(), Limits: c.GetLimits(), Services: map[string]*Service{}, Servers: make(map[string]*schema.MeshServer, len(servers)),
 		rules: rules, byAddress: make(map[string]*schema.MeshServer, len(servers))}
+	t.Downloads = slices.ContainsFunc(c.GetRules(), (*schema.MeshRule).GetDownload)
 	t.nameServices(c)
 	slices.SortFunc(servers, t.compareAtAddress)
 	hosts := map[netip.Addr]bool{}
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -135,8 +135,8 @@
 	Limited   bool
 	RateLimit float64
 	LimitWait time.Duration
-	// LinkRate is the rate in bytes per second at which the receiver sends large responses over its host's link; zero if unknown. LinkWait is
-	// the time until those that it has accepted have left.
+	// LinkRate is the rate in bytes per second at which the receiver sends large responses over its host's link; zero if it is unknown, or if the request
+	// isn't a download and the link isn't full. LinkWait is the time until the large responses that it has accepted have left.
 	LinkRate float64
 	LinkWait time.Duration
 	// Revision is the store's revision that the receiver holds, Era its era, and SourceAge the time since the store confirmed it.
--- a/route/mesh_link.go
+++ b/route/mesh_link.go
@@ -14,12 +14,11 @@
 	freeAt time.Time
 }
 
-// newLinkEstimate returns the estimate after a load report that was received at a time.
-func newLinkEstimate(r jaypitch.MeshLoadReport, now time.Time) linkEstimate {
-	if r.LinkRate <= 0 {
-		return linkEstimate{}
+// update takes over what a load report tells of the link. Only those for downloads, and those of a link that is full, tell something.
+func (l *linkEstimate) update(r jaypitch.MeshLoadReport, now time.Time) {
+	if r.LinkRate > 0 {
+		l.bytesPerSecond, l.freeAt = r.LinkRate, now.Add(r.LinkWait)
 	}
-	return linkEstimate{bytesPerSecond: r.LinkRate, freeAt: now.Add(r.LinkWait)}
 }
 
 // timeOf returns the time in which the link carries a number of bytes.
--- a/route/mesh_liveness.go
+++ b/route/mesh_liveness.go
@@ -26,9 +26,9 @@
 	// probeTimeout bounds a liveness probe. It leaves time for many round trips within a region and for one pause of a machine that is
 	// throttled by its CPU quota.
 	probeTimeout = 200 * time.Millisecond
-	// fullLinkProbeTimeout takes the place of probeTimeout while the link is full. Links with 0.5 s of queued packets are in use, and a
-	// lost packet is sent again after 200 ms.
-	fullLinkProbeTimeout = 800 * time.Millisecond
+	// fullLinkProbeTimeout takes the place of probeTimeout while the link is full. Sidecars keep the queue of their link well below that, but
+	// not that of traffic which isn't theirs.
+	fullLinkProbeTimeout = 500 * time.Millisecond
 )
 
 // RecordBytes records that bytes of a response arrived from the sidecar beside a server.
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -394,7 +394,8 @@
 	}
 	e.unreachable, e.avoidUntil, e.noReplySince = false, time.Time{}, now
 	e.life.recordReport(r.LoadReport, now)
-	e.limit, e.link = newServerLimit(r.LoadReport, now), newLinkEstimate(r.LoadReport, now)
+	e.limit = newServerLimit(r.LoadReport, now)
+	e.link.update(r.LoadReport, now)
 	e.loadReport, e.inFlightAtReport, e.loadUntil = r.LoadReport, e.inFlight, now.Add(meshLoadMaxAge)
 	if r.LoadReport.Mean > 0 {
 		e.ruleReports[rule] = ruleReport{mean: r.LoadReport.Mean, failing: r.LoadReport.Failing, until: now.Add(meanMaxAge)}
--- a/scenario/mesh.go
+++ b/scenario/mesh.go
@@ -21,6 +21,8 @@
 type Mesh struct {
 	Store *standin.Store
 	Hosts []*MeshHost
+	// SidecarLines are further lines of the section sidecar in the settings of hosts that are added later.
+	SidecarLines string
 
 	sidecarProgram string
 	dir            string
@@ -102,7 +104,7 @@
 	}
 	h.Server = server
 	m.Hosts = append(m.Hosts, h)
-	text := fmt.Sprintf("[sidecar]\nhost = host_%d\ndata_centre = here\nservice = %s\nbackend = %s\n[listen]\n", i, MeshService, server.Address())
+	text := fmt.Sprintf("[sidecar]\nhost = host_%d\ndata_centre = here\nservice = %s\nbackend = %s\n%s\n[listen]\n", i, MeshService, server.Address(), m.SidecarLines)
 	for _, name := range []string{"callers", "peers", "ready", "metrics"} {
 		text += fmt.Sprintf("%s = %s:%d\n", name, h.IP, m.ports[name])
 	}
@@ -146,7 +148,7 @@
 // Get sends a GET request to a listener of a host's sidecar (callers, peers, ready or metrics) and returns the response's status.
 // The request has the ID and the additional header. The status is 0 if there was no complete response.
 func (m *Mesh) Get(i int, listener, path, id string, header http.Header) int {
-	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d%s", m.Hosts[i].IP, m.ports[listener], path), nil)
+	r, err := http.NewRequest(http.MethodGet, m.URL(i, listener)+path, nil)
 	if err != nil {
 		return 0
 	}
@@ -166,6 +168,11 @@
 	return resp.StatusCode
 }
 
+// URL returns the URL of a listener of a host's sidecar, without a path.
+func (m *Mesh) URL(i int, listener string) string {
+	return fmt.Sprintf("http://%s:%d", m.Hosts[i].IP, m.ports[listener])
+}
+
 // AllRespond reports whether the sidecars of all hosts respond to a GET request with a status. The listener is one of those of Get.
 func (m *Mesh) AllRespond(listener, path string, status int) bool {
 	for i := range m.Hosts {
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -45,6 +45,8 @@
 	Normal Behaviour = ""
 	// Extra sends every response twice.
 	Extra Behaviour = "extra"
+	// Large sends complete responses of LargeBytes.
+	Large Behaviour = "large"
 	// Unframed sends responses without Content-Length, which end when the connection closes.
 	Unframed Behaviour = "unframed"
 	// Early responds before it has read the request body.
@@ -83,6 +85,9 @@
 	AnonymousMisdirected Behaviour = "repeats_anonymous_421"
 )
 
+// LargeBytes is the length of the body of a response that Large sends.
+const LargeBytes = 300_000
+
 // NewMeshServer starts a server that listens on a loopback address. The ID is its instance ID in the mesh; each request occupies
 // a slot for the service time.
 func NewMeshServer(address, id string, slots int, serviceTime time.Duration) (*MeshServer, error) {
@@ -267,6 +272,8 @@
 		return writeEndlessly(w, start, unit)
 	}
 	switch b {
+	case Large:
+		response = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: %d\r\n\r\n", notice, attemptID, LargeBytes) + strings.Repeat("x", LargeBytes)
 	case Extra:
 		response += response
 	case RepeatedRefusal:
--- a/standin/store.go
+++ b/standin/store.go
@@ -82,9 +82,18 @@
 // PutConfig writes a mesh configuration with one rule for each path prefix. The rules send requests with the host name to the service and
 // declare them idempotent.
 func (s *Store) PutConfig(version int, host, service string, prefixes ...string) int64 {
+	return s.putConfig(version, host, service, "idempotent", prefixes)
+}
+
+// PutDownloadConfig is PutConfig with rules of large responses.
+func (s *Store) PutDownloadConfig(version int, host, service string, prefixes ...string) int64 {
+	return s.putConfig(version, host, service, "download", prefixes)
+}
+
+func (s *Store) putConfig(version int, host, service, kind string, prefixes []string) int64 {
 	var rules []map[string]any
 	for _, p := range prefixes {
-		rules = append(rules, map[string]any{"name": p, "kind": "idempotent", "targetLatencyS": 0.5, "priority": 1, "match": map[string]any{"prefix": p},
+		rules = append(rules, map[string]any{"name": p, "kind": kind, "targetLatencyS": 0.5, "priority": 1, "match": map[string]any{"prefix": p},
 			"action": map[string]any{"service": service, "timeoutS": 2, "maxAttempts": 2}})
 	}
 	return s.putJSON(ConfigKey, map[string]any{"version": "r" + strconv.Itoa(version), "limits": map[string]any{"maxBodyBytes": 1000},
