Start pipelined requests before the ones ahead of them are answered

Cause: net/http reads a client's second request only after it has answered the first, so that pipelined requests wait unseen and one after the other.

The HTTP server still reads and answers requests one after the other on the same bytes. A wrapper below it ends each read of a head at the empty line, so that the bytes behind a request without a body stay visible. What follows there as complete, idempotent requests without a body is started, up to 4 on a connection and 64 in the process; the response is held until its turn and is used only if the HTTP server reads the same request then, byte for byte of its head. A request that isn't idempotent, has a body, is a download or closes the connection waits, and so does all behind it. If the connection is closed, what was started is canceled. A stopping sidecar starts none, and closes the connection only after those in progress were answered.

Ruled out: an own loop with http.ReadRequest, and hijacking, since they replace the limits and checks of net/http.

--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -28,6 +28,8 @@
 	tracker    *evidence.Tracker
 	inProgress atomic.Int64
 	bodyBudget bodyBudget
+	// ahead is the number of requests in progress ahead of their turn; startedAhead and droppedAhead count them since the start.
+	ahead, startedAhead, droppedAhead atomic.Int64
 
 	mu sync.Mutex
 	// draws holds the last draw of each rule.
@@ -92,8 +94,8 @@
 	defer h.inProgress.Add(-1)
 	local := h.localState()
 	rec := Record{ID: r.Header.Get(h.names.RequestID)}
-	response := h.respond(r, local, arrived, &rec)
-	if local.Stopping || h.localState().Stopping {
+	response := h.serveInTurn(r, local, &arrived, &rec)
+	if more := endReadAhead(r); !more && (local.Stopping || h.localState().Stopping) {
 		w.Header()["Connection"] = []string{"close"}
 	}
 	rec.Response = response
--- a/outbound/limits.go
+++ b/outbound/limits.go
@@ -61,7 +61,7 @@
 	if !ok {
 		return
 	}
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = t.SetLinger(0) // fails only if the connection is closed already
 	}
 }
@@ -77,15 +77,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &limitedConn{Conn: c, listener: l}, nil
+	return &limitedConn{Conn: newAheadConn(c), listener: l}, nil
 }
 
-// recordIdle records that a connection becomes idle. The HTTP server calls it just before it sets the idle deadline.
+// recordIdle records that a connection becomes idle after a response. The HTTP server calls it just before it sets the idle deadline.
 func recordIdle(c net.Conn, s http.ConnState) {
 	if l, ok := c.(*limitedConn); ok && s == http.StateIdle {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.phase = phaseIdle
+		if a, ok := l.Conn.(*aheadConn); ok {
+			a.idle()
+		}
 	}
 }
 
