Show links and pipelined requests in metrics and log lines

Cause: an operator could not see when a link refuses downloads, nor pipelined requests.

Metrics link_queued_bytes, link_transfers, link_refused_total and link_broken_off_total by direction, ahead_started_total and ahead_dropped_total; log lines 'link full' and 'link has room' for a change of state, and link_wait in 'passed'.

--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/jaypitch/jaypitch/schema"
 	"github.com/jaypitch/jaypitch/transfer"
@@ -13,6 +14,32 @@
 // hostLink is the network link of this host, one gate for each direction; nil if its capacity is unknown.
 type hostLink struct {
 	incoming, outgoing *transfer.Gate
+	// states are those at the last sweep, by direction.
+	states [2]linkState
+}
+
+// linkState is what the log lines tell of one direction of the link.
+type linkState struct {
+	full    bool
+	refused int64
+}
+
+var (
+	// linkDirections are the directions of the link in metrics and log lines.
+	linkDirections = [2]string{"in", "out"}
+	linkMetrics    = []linkMetric{
+		newLinkMetric("link_queued_bytes", "Bytes of accepted large responses that still have to pass the link, by direction.", prometheus.GaugeValue, func(n transfer.Counts) float64 { return float64(n.QueuedBytes) }),
+		newLinkMetric("link_transfers", "Large responses that are accepted for the link and haven't ended, by direction.", prometheus.GaugeValue, func(n transfer.Counts) float64 { return float64(n.Transfers) }),
+		newLinkMetric("link_refused_total", "Downloads refused because the link had no room within their target, by direction.", prometheus.CounterValue, func(n transfer.Counts) float64 { return float64(n.Refused) }),
+		newLinkMetric("link_broken_off_total", "Downloads broken off because the link could not carry the rest before their deadline, by direction.", prometheus.CounterValue, func(n transfer.Counts) float64 { return float64(n.BrokenOff) }),
+	}
+)
+
+// linkMetric is a metric of each direction of the link.
+type linkMetric struct {
+	desc  *prometheus.Desc
+	kind  prometheus.ValueType
+	value func(transfer.Counts) float64
 }
 
 // setLink sets the capacity of the link from the settings. It fails if it can't be parsed.
@@ -22,20 +49,45 @@
 		return eris.Wrap(err, "parsing the capacity of the link")
 	}
 	c.link = hostLink{incoming: transfer.NewGate(megabits, c.now), outgoing: transfer.NewGate(megabits, c.now)}
-	c.metrics.registerLink(c.link)
+	c.metrics.registry.MustRegister(&c.link)
 	return nil
 }
 
-// registerLink registers the metrics of the link.
-func (m *metrics) registerLink(l hostLink) {
-	for direction, g := range map[string]*transfer.Gate{"in": l.incoming, "out": l.outgoing} {
-		labels := prometheus.Labels{"direction": direction}
-		gauge := func(name, help string, f func(transfer.Counts) float64) {
-			m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: labels}, func() float64 { return f(g.Counts()) }))
+// sweepLink logs when the link begins to refuse downloads, and when it has refused none for the time between two sweeps.
+func (c *Sidecar) sweepLink() {
+	for i, g := range []*transfer.Gate{c.link.incoming, c.link.outgoing} {
+		n, s := g.Counts(), &c.link.states[i]
+		refused := n.Refused - s.refused
+		if full := refused > 0; full != s.full {
+			s.full = full
+			direction := zap.String("direction", linkDirections[i])
+			if full {
+				c.log.Warn("link full", direction, zap.Int64("refused", refused), zap.Int64("queued_bytes", n.QueuedBytes), zap.Int("transfers", n.Transfers))
+			} else {
+				c.log.Info("link has room", direction, zap.Int64("refused_total", n.Refused))
+			}
+		}
+		s.refused = n.Refused
+	}
+}
+
+// Describe sends the descriptions of the link's metrics.
+func (l *hostLink) Describe(to chan<- *prometheus.Desc) {
+	for _, m := range linkMetrics {
+		to <- m.desc
+	}
+}
+
+// Collect sends the link's metrics.
+func (l *hostLink) Collect(to chan<- prometheus.Metric) {
+	for i, g := range []*transfer.Gate{l.incoming, l.outgoing} {
+		n := g.Counts()
+		for _, m := range linkMetrics {
+			to <- prometheus.MustNewConstMetric(m.desc, m.kind, m.value(n), linkDirections[i])
 		}
-		gauge("link_queued_bytes", "Bytes of accepted large responses that still have to pass the link, by direction.", func(n transfer.Counts) float64 { return float64(n.QueuedBytes) })
-		gauge("link_transfers", "Large responses that are accepted for the link and haven't ended, by direction.", func(n transfer.Counts) float64 { return float64(n.Transfers) })
-		gauge("link_refused", "Downloads refused because the link had no room within their target, by direction.", func(n transfer.Counts) float64 { return float64(n.Refused) })
-		gauge("link_broken_off", "Downloads broken off because the link could not carry the rest before their deadline, by direction.", func(n transfer.Counts) float64 { return float64(n.BrokenOff) })
 	}
 }
+
+func newLinkMetric(name, help string, kind prometheus.ValueType, value func(transfer.Counts) float64) linkMetric {
+	return linkMetric{prometheus.NewDesc(namespace+"_"+name, help, []string{"direction"}, nil), kind, value}
+}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -72,6 +72,11 @@
 		}
 		return 0
 	})
+	counter := func(name, help string, f func() float64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, f))
+	}
+	counter("ahead_started_total", "Requests that were started before the one ahead of them on their client's connection was answered.", func() float64 { n, _ := c.handler.StartedAhead(); return float64(n) })
+	counter("ahead_dropped_total", "Requests among these that were never answered, since the connection was closed before their turn.", func() float64 { _, n := c.handler.StartedAhead(); return float64(n) })
 	gauge("lines_dropped", "Log lines dropped because the output was too slow or failed.", func() float64 { return float64(dropped()) })
 	return m
 }
@@ -154,7 +159,7 @@
 	c.log.Info(logline.Passed, zap.String("id", f.ID), zap.Int("pass", attempt), zap.String("server", f.ServerID), zap.Int("code", int(r.Code)), zap.String("ran", string(r.Execution)),
 		zap.Bool("arrived", r.Arrived), zap.String("reason", r.Reason), zap.Duration("left", f.Deadline.Sub(c.now())), zap.Int("in_progress", r.LoadReport.InProgress),
 		zap.Int("waiting", r.LoadReport.Queued), zap.Int("slots", r.LoadReport.Slots), zap.Duration("mean", r.LoadReport.Mean), zap.Float64("failing", r.LoadReport.Failing),
-		zap.Bool("limited", r.LoadReport.Limited), zap.Float64("limit", r.LoadReport.RateLimit), zap.Duration("limit_wait", r.LoadReport.LimitWait))
+		zap.Bool("limited", r.LoadReport.Limited), zap.Float64("limit", r.LoadReport.RateLimit), zap.Duration("limit_wait", r.LoadReport.LimitWait), zap.Duration("link_wait", r.LoadReport.LinkWait))
 }
 
 // recordReceived records one request for the backend server on this host.
