Accept downloads that would be late on an idle link too

Cause: a download that was tried again after its target, or whose target is shorter than its time on the link, was refused on an idle link. It is accepted if it is expected to leave before its deadline, after all others. A probe also gets more time while the sender's own incoming link is full.

--- a/link/scheduler.go
+++ b/link/scheduler.go
@@ -88,10 +88,19 @@
 }
 
 // Admit accepts a transfer, or returns the time after which it may be accepted. A transfer is accepted if it is expected to leave within its
-// target, and if no accepted one is expected to miss its target for it. Its length is estimated from those before of its rule.
+// target, and if no accepted one is expected to miss its target for it. One that would miss its target on an idle link too is accepted if
+// it is expected to leave before its deadline, after all others. The length is estimated from those before of its rule.
 func (s *Scheduler) Admit(t *Transfer, now time.Time) (retryAfter time.Duration, accepted bool) {
 	r := s.rule(t.Rule)
 	need := s.timeOf(int64(r.bytes))
+	first := now.Add(time.Duration(r.startTime * float64(time.Second)))
+	if first.Add(need).After(t.TargetDeadline) {
+		if over := later(first, now.Add(s.Backlog(now))).Add(need).Sub(t.Deadline); over > 0 {
+			return over, false
+		}
+		s.accept(t, now)
+		return 0, true
+	}
 	at := later(s.freeAt, now)
 	for _, o := range s.transfers {
 		if o.TargetDeadline.After(t.TargetDeadline) {
@@ -99,19 +108,17 @@
 		}
 		at = at.Add(s.timeOf(o.expected(now)))
 	}
-	startsAt := later(at, now.Add(time.Duration(r.startTime*float64(time.Second))))
 	latest := now.Add(time.Duration(float64(t.TargetDeadline.Sub(now)) * queueShare))
 	if late := latest.Sub(at); late < 0 {
 		return -late, false
 	}
-	if over := startsAt.Add(need).Sub(t.TargetDeadline); over > 0 {
+	if over := later(at, first).Add(need).Sub(t.TargetDeadline); over > 0 {
 		return over, false
 	}
 	if over := s.delays(t, at.Add(need), need, now); over > 0 {
 		return over, false
 	}
-	t.remaining, t.acceptedAt = int64(r.bytes), now
-	s.insert(t)
+	s.accept(t, now)
 	return 0, true
 }
 
@@ -132,8 +139,7 @@
 
 // Begin adds a transfer that can't be refused any more, with its length in bytes; negative if the length is unknown.
 func (s *Scheduler) Begin(t *Transfer, length int64, now time.Time) {
-	t.remaining, t.acceptedAt = int64(s.rule(t.Rule).bytes), now
-	s.insert(t)
+	s.accept(t, now)
 	s.SetLength(t, length, now)
 }
 
@@ -266,7 +272,9 @@
 	return now.Add(rest).After(t.Deadline)
 }
 
-func (s *Scheduler) insert(t *Transfer) {
+// accept adds a transfer with the length that is expected of its rule.
+func (s *Scheduler) accept(t *Transfer, now time.Time) {
+	t.remaining, t.acceptedAt = int64(s.rule(t.Rule).bytes), now
 	i, _ := slices.BinarySearchFunc(s.transfers, t, func(a, b *Transfer) int {
 		if a.TargetDeadline.After(b.TargetDeadline) {
 			return 1
--- a/link/scheduler_test.go
+++ b/link/scheduler_test.go
@@ -29,6 +29,19 @@
 	// Each of initialBytes takes 39 ms, and 0.8 of the target is 400 ms.
 	is.Equal(accepted, 11)
 	is.True(after > 0 && after < 100*time.Millisecond)
+	t.Run("one that would be late on an idle link too is accepted if it can leave before its deadline", func(t *testing.T) {
+		is := is.New(t)
+		s := NewScheduler(testMegabits)
+		for range 50 {
+			late := newTransfer(-100 * time.Millisecond)
+			if _, ok := s.Admit(late, testStart); !ok {
+				break
+			}
+		}
+		is.Equal(s.Transfers(), 23) // 39 ms each, 900 ms until the deadline
+		_, ok := s.Admit(newTransfer(500*time.Millisecond), testStart)
+		is.True(!ok) // all before it have earlier target deadlines
+	})
 	t.Run("one with an earlier target isn't accepted at the expense of the others", func(t *testing.T) {
 		is := is.New(t)
 		s := NewScheduler(1)
--- a/route/mesh_link.go
+++ b/route/mesh_link.go
@@ -50,14 +50,19 @@
 	return max(0, e.link.freeAt.Sub(now)) + e.link.timeOf(c.rule(q.Rule).responseBytes)
 }
 
-// linkRetryWait returns the time after which the link of a server's host may have room for a download within its target; zero if it has now.
+// linkRetryWait returns the time after which the link of a server's host may have room for a download within its target, or within its deadline if
+// the target can't be met any more; zero if it has now.
 func (c *MeshPicker) linkRetryWait(e *serverState, q PickRequest, now time.Time) time.Duration {
 	if !q.Download || e.link.bytesPerSecond == 0 || q.TargetDeadline.IsZero() {
 		return 0
 	}
-	// A response that takes longer than its target on an idle link isn't refused for that.
-	slack := max(0, q.TargetDeadline.Sub(now)-e.link.timeOf(c.rule(q.Rule).responseBytes))
-	return max(0, e.link.freeAt.Sub(now)-slack)
+	need := e.link.timeOf(c.rule(q.Rule).responseBytes)
+	latest := q.TargetDeadline
+	if now.Add(need).After(latest) {
+		// It would be late on an idle link too.
+		latest = q.Deadline
+	}
+	return max(0, e.link.freeAt.Sub(now)-max(0, latest.Sub(now)-need))
 }
 
 // bodyBytes returns the size of a response's body, as far as it is known.
--- a/route/mesh_liveness.go
+++ b/route/mesh_liveness.go
@@ -38,9 +38,10 @@
 	}
 }
 
-// ProbeTimeout returns how long the response to a probe of the sidecar beside a server is awaited.
-func (c *MeshPicker) ProbeTimeout(id string, now time.Time) time.Duration {
-	if e := c.servers[id]; e != nil && !e.unreachable && e.life.linkFull(now) {
+// ProbeTimeout returns how long the response to a probe of the sidecar beside a server is awaited. OwnWait is the queue time of this host's own
+// link, on which the response arrives.
+func (c *MeshPicker) ProbeTimeout(id string, ownWait time.Duration, now time.Time) time.Duration {
+	if e := c.servers[id]; e != nil && !e.unreachable && (e.life.linkFull(now) || ownWait >= fullLinkWait) {
 		return fullLinkProbeTimeout
 	}
 	return probeTimeout
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math"
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -24,6 +25,13 @@
 	refused int64
 }
 
+// linkMetric is a metric of each direction of the link.
+type linkMetric struct {
+	desc  *prometheus.Desc
+	kind  prometheus.ValueType
+	value func(transfer.Counts) float64
+}
+
 var (
 	// linkDirections are the directions of the link in metrics and log lines.
 	linkDirections = [2]string{"in", "out"}
@@ -35,19 +43,15 @@
 	}
 )
 
-// linkMetric is a metric of each direction of the link.
-type linkMetric struct {
-	desc  *prometheus.Desc
-	kind  prometheus.ValueType
-	value func(transfer.Counts) float64
-}
-
 // setLink sets the capacity of the link from the settings. It fails if it can't be parsed.
 func (c *Sidecar) setLink(s *schema.SidecarSettings) error {
 	megabits, err := strconv.ParseFloat(s.GetSidecar().GetLinkMbps(), 64)
 	if err != nil {
 		return eris.Wrap(err, "parsing the capacity of the link")
 	}
+	if !(megabits >= 0) || math.IsInf(megabits, 0) {
+		return eris.Errorf("the capacity of the link is %g", megabits)
+	}
 	c.link = hostLink{incoming: transfer.NewGate(megabits, c.now), outgoing: transfer.NewGate(megabits, c.now)}
 	c.metrics.registry.MustRegister(&c.link)
 	return nil
