--- a/jaypitch.go
+++ b/jaypitch.go
@@ -3,9 +3,9 @@
 // A proxy runs as a sidecar beside each backend server. It distributes configuration and forwards requests. There are two
 // families of packages. The node family reads teams' documents and host lists: package node, with backend, caller,
 // idempotency, operator, peer, settings, source and topology. The sidecar family reads the configuration of a mesh: package
-// sidecar, with hop, inbound, mesh, meshpeer, outbound and platform. The other packages serve both. Types of the sidecar
+// sidecar, with hop, inbound, link, mesh, meshpeer, outbound, platform and transfer. The other packages serve both. Types of the sidecar
 // family that have a counterpart in the node family carry the prefix Mesh. Packages that decide (admit, burn, evidence,
-// idempotency, mesh, route, settings, topology) have no sockets, goroutines or clocks; adapters are named for their peer or
+// idempotency, link, mesh, route, settings, topology) have no sockets, goroutines or clocks; adapters are named for their peer or
 // protocol.
 //
 // # Terms
@@ -37,6 +37,7 @@
 //   - picker: chooses the server of an attempt; it ejects hosts that fail
 //   - retry budget: bound on retries in proportion to requests
 //   - probe: a health or liveness check; unresponsive: no reply to requests or probes for a while ("silent" in reports)
+//   - transfer: a large response that waits for its turn on a host's network link
 //   - draining, stopping: a server that takes no new requests and finishes the rest; a proxy in the same state
 //
 // Configuration:
