--- a/hop/notice.go
+++ b/hop/notice.go
@@ -21,16 +21,26 @@
 	noticeWait = "wait"
 	// noticeLeaving is, in a response, 1 if the server stated that it is leaving.
 	noticeLeaving = "leaving"
+	// noticeDownload is, in a request, 1 if the response is probably large.
+	noticeDownload = "download"
+	// noticeLinkRate is, in a response, the rate in bytes per second at which large responses leave the receiver's host, and noticeLinkWait
+	// the time until those that were accepted have left, in microseconds.
+	noticeLinkRate = "linkrate"
+	noticeLinkWait = "linkwait"
 	// noticeCode is, in a response, a result code that older sidecars don't know. They get the code in headerResponse.
 	noticeCode = "code"
 )
 
 // olderCodes are the codes that older sidecars get instead of a code that they don't know.
-var olderCodes = map[jaypitch.Code]jaypitch.Code{jaypitch.CodeServerLimit: jaypitch.CodeOverloaded, jaypitch.CodeEvacuated: jaypitch.CodeStopping}
+var olderCodes = map[jaypitch.Code]jaypitch.Code{jaypitch.CodeServerLimit: jaypitch.CodeOverloaded, jaypitch.CodeEvacuated: jaypitch.CodeStopping,
+	jaypitch.CodeLinkFull: jaypitch.CodeOverloaded}
 
 // formatRequestNotice returns the value of headerNotice for a request, or an empty string if there is nothing to tell.
 func formatRequestNotice(f *jaypitch.MeshRequest, now time.Time) string {
 	pairs := eraPair(f.Era)
+	if f.Download {
+		pairs = append(pairs, pair(noticeDownload, formatBool(true)))
+	}
 	if !f.LimitHeardAt.IsZero() {
 		pairs = append(pairs, pair(noticeLimit, formatRate(f.RateLimit)), pair(noticeAge, formatInt(now.Sub(f.LimitHeardAt).Microseconds())))
 	}
@@ -41,6 +51,7 @@
 func parseRequestNotice(text string, f *jaypitch.MeshRequest, now time.Time) {
 	p := parsePairs(text)
 	f.Era = parseEra(p[noticeEra])
+	f.Download = p[noticeDownload] == formatBool(true)
 	limit, ok := parseRate(p[noticeLimit])
 	age, err := strconv.ParseInt(p[noticeAge], 10, 64)
 	if ok && err == nil && age >= 0 {
@@ -54,6 +65,9 @@
 	if r.LoadReport.Limited {
 		pairs = append(pairs, pair(noticeLimit, formatRate(r.LoadReport.RateLimit)), pair(noticeWait, formatInt(r.LoadReport.LimitWait.Microseconds())))
 	}
+	if r.LoadReport.LinkRate > 0 {
+		pairs = append(pairs, pair(noticeLinkRate, formatInt(int64(r.LoadReport.LinkRate))), pair(noticeLinkWait, formatInt(r.LoadReport.LinkWait.Microseconds())))
+	}
 	if r.LoadReport.Leaving {
 		pairs = append(pairs, pair(noticeLeaving, formatBool(true)))
 	}
@@ -72,6 +86,11 @@
 	if ok && err == nil && wait >= 0 {
 		r.LoadReport.Limited, r.LoadReport.RateLimit, r.LoadReport.LimitWait = true, limit, microseconds(wait)
 	}
+	linkRate, ok := parseRate(p[noticeLinkRate])
+	linkWait, err := strconv.ParseInt(p[noticeLinkWait], 10, 64)
+	if ok && err == nil && linkWait >= 0 {
+		r.LoadReport.LinkRate, r.LoadReport.LinkWait = linkRate, microseconds(linkWait)
+	}
 	r.LoadReport.Leaving = p[noticeLeaving] == formatBool(true)
 	if code, err := strconv.Atoi(p[noticeCode]); err == nil && olderCodes[jaypitch.Code(code)] == r.Code {
 		r.Code = jaypitch.Code(code)
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -29,6 +29,8 @@
 	tracker    *evidence.Tracker
 	inProgress atomic.Int64
 	bodyBudget bodyBudget
+	// ahead is the number of requests in progress ahead of their turn; startedAhead and droppedAhead count them since the start.
+	ahead, startedAhead, droppedAhead atomic.Int64
 
 	mu sync.Mutex
 	// draws holds the last draw of each rule. The first one is random, so that the few requests of each of many sidecars add up to the weights.
@@ -62,6 +64,8 @@
 	Target time.Duration
 	// Overhead is the time of the request outside the backend server.
 	Overhead time.Duration
+	// BrokenOff is true if the response was a stream that ended before its end.
+	BrokenOff bool
 }
 
 const (
@@ -92,13 +96,14 @@
 	defer h.inProgress.Add(-1)
 	local := h.localState()
 	rec := Record{ID: r.Header.Get(h.names.RequestID)}
-	response := h.respond(r, local, arrived, &rec)
-	if local.Stopping || h.localState().Stopping {
+	response := h.serveInTurn(r, local, &arrived, &rec)
+	if more := endReadAhead(r); !more && (local.Stopping || h.localState().Stopping) {
 		w.Header()["Connection"] = []string{"close"}
 	}
 	rec.Response = response
 	rec.Status = h.status(response)
 	err := h.write(w, rec, response)
+	rec.BrokenOff = err != nil && response.Stream != nil
 	rec.Took = h.now().Sub(arrived)
 	rec.Overhead = rec.Took - response.ServiceTime
 	h.record(rec)
@@ -134,7 +139,7 @@
 	}
 	defer h.bodyBudget.release(len(body))
 	f := &jaypitch.MeshRequest{ID: rec.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: hop.EndToEndHeader(r.Header), Body: body,
-		Rule: rule.GetName(), Rank: rule.GetRank(), Idempotent: rule.GetIdempotent(), CallerService: local.Service}
+		Rule: rule.GetName(), Rank: rule.GetRank(), Idempotent: rule.GetIdempotent(), Download: rule.GetDownload(), CallerService: local.Service}
 	h.setDeadlines(f, r, rule, arrived)
 	if !local.EndsAt.IsZero() && f.Deadline.After(local.EndsAt) {
 		return jaypitch.NotExecutedResponse(jaypitch.CodeStopping, "the sidecar may stop before the deadline of the request")
--- a/scenario/mesh.go
+++ b/scenario/mesh.go
@@ -148,7 +148,7 @@
 // Get sends a GET request to a listener of a host's sidecar (callers, peers, ready or metrics) and returns the response's status.
 // The request has the ID and the additional header. The status is 0 if there was no complete response.
 func (m *Mesh) Get(i int, listener, path, id string, header http.Header) int {
-	r, err := http.NewRequest(http.MethodGet, "http://"+m.Address(i, listener)+path, nil)
+	r, err := http.NewRequest(http.MethodGet, m.URL(i, listener)+path, nil)
 	if err != nil {
 		return 0
 	}
@@ -173,6 +173,11 @@
 	return fmt.Sprintf("%s:%d", m.Hosts[i].IP, m.ports[listener])
 }
 
+// URL returns the URL of a listener of a host's sidecar, without a path.
+func (m *Mesh) URL(i int, listener string) string {
+	return "http://" + m.Address(i, listener)
+}
+
 // AllRespond reports whether the sidecars of all hosts respond to a GET request with a status. The listener is one of those of Get.
 func (m *Mesh) AllRespond(listener, path string, status int) bool {
 	for i := range m.Hosts {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -26,6 +26,7 @@
 	undecodableEntries prometheus.Counter
 	serverConnections  prometheus.Counter
 	serverRequests     *prometheus.CounterVec
+	brokenStreams      prometheus.Counter
 	restores           prometheus.Counter
 	coldStarts         prometheus.Counter
 }
@@ -48,7 +49,8 @@
 		restores:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_restores_total", Help: "Times that the store came back from a copy, as the rise of its era shows."}),
 		serverRequests:     prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_requests_total", Help: "Requests sent to the backend server, by whether it named a rate limit then."}, []string{"limited"}),
 	}
-	m.registry.MustRegister(m.coldStarts, m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
+	m.brokenStreams = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "streams_broken_off_total", Help: "Streamed responses that were broken off before their end, by the client, by a server, or for a client that read nothing."})
+	m.registry.MustRegister(m.brokenStreams, m.coldStarts, m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
 	m.registry.MustRegister(newEvacuationCollector(c))
 	gauge := func(name, help string, f func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
@@ -74,6 +76,11 @@
 		return 0
 	})
 	gauge("server_cold_seconds", "Time for which the backend server still counts as cold; 0 if it is warm or its service has no limit for cold servers.", c.coldSeconds)
+	counter := func(name, help string, f func() float64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, f))
+	}
+	counter("ahead_started_total", "Requests that were started before the one ahead of them on their client's connection was answered.", func() float64 { n, _ := c.handler.StartedAhead(); return float64(n) })
+	counter("ahead_dropped_total", "Requests among these that were never answered, since the connection was closed before their turn.", func() float64 { _, n := c.handler.StartedAhead(); return float64(n) })
 	gauge("lines_dropped", "Log lines dropped because the output was too slow or failed.", func() float64 { return float64(dropped()) })
 	return m
 }
@@ -127,6 +134,9 @@
 	if r.Response.Execution == jaypitch.Executed {
 		c.metrics.overhead.WithLabelValues(rank).Observe(r.Overhead.Seconds())
 	}
+	if r.BrokenOff {
+		c.metrics.brokenStreams.Inc()
+	}
 	kind := logline.Answered
 	if r.Response.Code != jaypitch.CodeOK {
 		kind = logline.Failed
@@ -153,7 +163,7 @@
 	c.log.Info(logline.Passed, zap.String("id", f.ID), zap.Int("pass", attempt), zap.String("server", f.ServerID), zap.Int("code", int(r.Code)), zap.String("ran", string(r.Execution)),
 		zap.Bool("arrived", r.Arrived), zap.String("reason", r.Reason), zap.Duration("left", f.Deadline.Sub(c.now())), zap.Int("in_progress", r.LoadReport.InProgress),
 		zap.Int("waiting", r.LoadReport.Queued), zap.Int("slots", r.LoadReport.Slots), zap.Duration("mean", r.LoadReport.Mean), zap.Float64("failing", r.LoadReport.Failing),
-		zap.Bool("limited", r.LoadReport.Limited), zap.Float64("limit", r.LoadReport.RateLimit), zap.Duration("limit_wait", r.LoadReport.LimitWait))
+		zap.Bool("limited", r.LoadReport.Limited), zap.Float64("limit", r.LoadReport.RateLimit), zap.Duration("limit_wait", r.LoadReport.LimitWait), zap.Duration("link_wait", r.LoadReport.LinkWait))
 }
 
 // recordReceived records one request for the backend server on this host.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -68,6 +68,7 @@
 	tracker      *evidence.Tracker
 	burnCounter  burnCounter
 	dataCentres  dataCentres
+	link         hostLink
 	// appliedAt is when the current configuration was applied; nil before the first one.
 	appliedAt atomic.Pointer[time.Time]
 	// peerPort is the port on which the sidecars of the mesh listen for each other.
@@ -121,11 +122,15 @@
 	if _, _, err := parseColdBounds(s.GetBounds()); err != nil {
 		return nil, err
 	}
+	if err := c.setLink(s); err != nil {
+		return nil, err
+	}
 	c.backendPool = http1.NewPool(c.now, http1.WithOnDial(c.metrics.recordConnection))
 	// Receivers identify this sidecar by the local address, to poll it for newer revisions.
 	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()))
 	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.HeaderNames, c.replica, c.confirmation.age, c.backendPool, c.now, c.recordReceived,
-		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice), inbound.WithDataCentre(s.GetSidecar().GetDataCentre()), inbound.WithUnconfirmed(c.unconfirmed), c.withCold())
+		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice), inbound.WithDataCentre(s.GetSidecar().GetDataCentre()), inbound.WithUnconfirmed(c.unconfirmed), c.withCold(),
+		inbound.WithLink(c.link.incoming, c.link.outgoing))
 	control := http.NewServeMux()
 	control.Handle(meshpeer.NewHandler(c.replica, c.confirmation.age, c.find, c.burnCounts, c.recordSender))
 	control.HandleFunc("GET "+hop.ProbePath, func(http.ResponseWriter, *http.Request) {})
@@ -135,7 +140,7 @@
 	retryBudget := route.NewMeshRetryBudget(ratio, s.GetBounds().GetRetrySlack(), micros(s.GetBounds().GetRetryWindowUs()))
 	c.hopClient = hop.NewClient(c.peerPool, c.now)
 	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
-		outbound.WithNotices(p.DecodeNotice), outbound.WithDataCentreCounts(c.beginAttempt))
+		outbound.WithNotices(p.DecodeNotice), outbound.WithDataCentreCounts(c.beginAttempt), outbound.WithLink(c.link.incoming, c.link.outgoing))
 	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, s.GetSidecar().GetMemoryMb()*megabyte/bodyMemoryDivisor, c.tracker, c.now, c.recordRequest)
 	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, seeded: c.seeded, starting: c.starting, readsAllPages: c.readsAllPages, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
@@ -150,7 +155,7 @@
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	for _, l := range []interface{ run(context.Context) }{c.watcher, c.peerPoller, &ticker{sidecar: c}, &reloader{sidecar: c}, &prober{sidecar: c}} {
+	for _, l := range []interface{ run(context.Context) }{c.watcher, c.peerPoller, &ticker{sidecar: c}, &reloader{sidecar: c}, &prober{sidecar: c, inProgress: map[string]bool{}}} {
 		c.wg.Add(1)
 		go (&task{wg: &c.wg, loop: l}).run(runCtx)
 	}
@@ -198,7 +203,7 @@
 		time.Sleep(idleBeforeClose / 4)
 		now := c.now()
 		inProgress, queued, _ := c.receiver.Counts()
-		if c.handler.InProgress() > 0 || inProgress+queued > 0 {
+		if c.handler.InProgress() > 0 || inProgress+queued+c.receiver.Streams() > 0 {
 			idleSince = now
 		}
 		if now.After(atLeast) && now.Sub(idleSince) > idleBeforeClose {
--- a/standin/store.go
+++ b/standin/store.go
@@ -100,12 +100,21 @@
 // PutConfig writes a mesh configuration with one rule for each path prefix. The rules send requests with the host name to the service and
 // declare them idempotent.
 func (s *Store) PutConfig(version int, host, service string, prefixes ...string) int64 {
+	return s.putConfig(version, host, service, "idempotent", prefixes)
+}
+
+// PutDownloadConfig is PutConfig with rules of large responses.
+func (s *Store) PutDownloadConfig(version int, host, service string, prefixes ...string) int64 {
+	return s.putConfig(version, host, service, "download", prefixes)
+}
+
+func (s *Store) putConfig(version int, host, service, kind string, prefixes []string) int64 {
 	s.mu.Lock()
 	limits := map[string]any{"maxHeaderBytes": s.limits.HeadBytes, "maxBodyBytes": s.limits.BodyBytes, "headerTimeoutS": s.limits.HeadS, "idleTimeoutS": s.limits.IdleS}
 	s.mu.Unlock()
 	var rules []map[string]any
 	for _, p := range prefixes {
-		rules = append(rules, map[string]any{"name": p, "kind": "idempotent", "targetLatencyS": 0.5, "priority": 1, "match": map[string]any{"prefix": p},
+		rules = append(rules, map[string]any{"name": p, "kind": kind, "targetLatencyS": 0.5, "priority": 1, "match": map[string]any{"prefix": p},
 			"action": map[string]any{"service": service, "timeoutS": 2, "maxAttempts": 2}})
 	}
 	return s.putJSON(ConfigKey, map[string]any{"version": "r" + strconv.Itoa(version), "limits": limits,
