A server that refuses everything gets trial requests only

A server that answers 503 without executing has free slots and a short service time. Its sidecar held back requests only if another server was better, so with the others full the senders kept sending there. The receiver now counts consecutive refusals by rule; after five of them over half a second it refuses the rule's requests in the server's place, except for a trial from every 0.1 s to every 1 s, and reports it as refusing=1 in Jaypitch-Notice. Senders hold off the rule there for 0.25 to 2 s. A request that a server refused isn't used as a trial (no_trial=1). Older builds ignore both and get code 126, as before.

--- a/hop/notice.go
+++ b/hop/notice.go
@@ -21,6 +21,10 @@
 	noticeWait = "wait"
 	// noticeLeaving is, in a response, 1 if the server stated that it is leaving.
 	noticeLeaving = "leaving"
+	// noticeRefusing is, in a response, 1 if the server refused all of the rule's latest requests without executing them.
+	noticeRefusing = "refusing"
+	// noticeNoTrial is, in a request, 1 if a server has refused the request already.
+	noticeNoTrial = "no_trial"
 	// noticeCode is, in a response, a result code that older sidecars don't know. They get the code in headerResponse.
 	noticeCode = "code"
 )
@@ -34,6 +38,9 @@
 	if !f.LimitHeardAt.IsZero() {
 		pairs = append(pairs, pair(noticeLimit, formatRate(f.RateLimit)), pair(noticeAge, formatInt(now.Sub(f.LimitHeardAt).Microseconds())))
 	}
+	if f.NoTrial {
+		pairs = append(pairs, pair(noticeNoTrial, formatBool(true)))
+	}
 	return strings.Join(pairs, separator)
 }
 
@@ -41,6 +48,7 @@
 func parseRequestNotice(text string, f *jaypitch.MeshRequest, now time.Time) {
 	p := parsePairs(text)
 	f.Era = parseEra(p[noticeEra])
+	f.NoTrial = p[noticeNoTrial] == formatBool(true)
 	limit, ok := parseRate(p[noticeLimit])
 	age, err := strconv.ParseInt(p[noticeAge], 10, 64)
 	if ok && err == nil && age >= 0 {
@@ -57,6 +65,9 @@
 	if r.LoadReport.Leaving {
 		pairs = append(pairs, pair(noticeLeaving, formatBool(true)))
 	}
+	if r.LoadReport.Refusing {
+		pairs = append(pairs, pair(noticeRefusing, formatBool(true)))
+	}
 	if olderCode(r.Code) != r.Code {
 		pairs = append(pairs, pair(noticeCode, formatInt(int64(r.Code))))
 	}
@@ -73,6 +84,7 @@
 		r.LoadReport.Limited, r.LoadReport.RateLimit, r.LoadReport.LimitWait = true, limit, microseconds(wait)
 	}
 	r.LoadReport.Leaving = p[noticeLeaving] == formatBool(true)
+	r.LoadReport.Refusing = p[noticeRefusing] == formatBool(true)
 	if code, err := strconv.Atoi(p[noticeCode]); err == nil && olderCodes[jaypitch.Code(code)] == r.Code {
 		r.Code = jaypitch.Code(code)
 	}
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -34,7 +34,9 @@
 	slots    *admit.Slots
 	serverID string
 	// failing is the moving average of the share of failed requests, by rule.
-	failing  map[string]float64
+	failing map[string]float64
+	// refusals holds the rules whose requests the server refuses without executing them.
+	refusals admit.ServerRefusals
 	stopping bool
 	// notice is the latest notice of the server with serverID. Until noticed is true, the server has not responded to this process, and the
 	// notice is what a sender reported, if any did.
@@ -130,6 +132,10 @@
 	}
 	r.mu.Lock()
 	r.adoptLimit(f)
+	if e := r.refusals.Admit(f.Rule, !f.NoTrial, r.now()); e != nil {
+		r.mu.Unlock()
+		return refusal(e)
+	}
 	if failing := r.failing[f.Rule]; failing > failingLimit && !f.CompleteBy.IsZero() && r.random() > failingTrialShare {
 		r.mu.Unlock()
 		return refusal(jaypitch.Errorf(jaypitch.CodeFailing, "the backend server failed %.2f of the latest requests of rule %q", failing, f.Rule))
@@ -235,6 +241,7 @@
 		r.serverID = id
 		r.slots.Reset()
 		clear(r.failing)
+		r.refusals.Reset()
 		r.notice, r.noticed = jaypitch.ServerNotice{}, false
 	}
 	if v != nil {
@@ -396,11 +403,22 @@
 		failed, serviceTime = 1, 0
 	}
 	r.mu.Lock()
-	r.failing[w.Rule] += failingWeight * (failed - r.failing[w.Rule])
+	r.recordFailure(w.Rule, failed, response)
 	r.mu.Unlock()
 	r.releaseSlot(w, serviceTime)
 }
 
+// recordFailure updates the rule's share of failed requests. Those that the server refused don't count as long as it refuses all, since
+// the rule's requests are held back then. The caller holds the lock.
+func (r *Receiver) recordFailure(rule string, failed float64, response *jaypitch.MeshResponse) {
+	r.failing[rule] += failingWeight * (failed - r.failing[rule])
+	if response.Code == jaypitch.CodeShed || response.Execution == jaypitch.Executed {
+		if r.refusals.Record(rule, response.Code == jaypitch.CodeShed, r.now()) || r.refusals.Refusing(rule, r.now()) {
+			r.failing[rule] = 0
+		}
+	}
+}
+
 // releaseSlot releases a slot and starts the queued requests that fit now. A service time of zero doesn't count towards the means.
 func (r *Receiver) releaseSlot(w *admit.SlotRequest, serviceTime time.Duration) {
 	r.mu.Lock()
@@ -448,7 +466,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
-		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
+		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Refusing: r.refusals.Refusing(f.Rule, r.now()), Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
 	if r.notice.Limited {
 		report.Limited, report.RateLimit, report.LimitWait = true, r.notice.RateLimit, r.slots.LimitWait(r.now())
 	}
--- /dev/null
+++ b/inbound/refusing_test.go
@@ -0,0 +1,39 @@
+package inbound
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/standin"
+)
+
+// TestServeRefusingServer guards against requests to a server that refuses all of them, also if no other server is better.
+func TestServeRefusingServer(t *testing.T) {
+	is := is.New(t)
+	g := newFixture(t, 4)
+	var ahead time.Duration
+	g.receiver.now = func() time.Time { return time.Now().Add(ahead) }
+	g.server.SetBehaviour(standin.Shedding)
+	refusedBy := func() jaypitch.Code {
+		f := newRequest("one", "")
+		f.Deadline, f.TargetDeadline = g.receiver.now().Add(time.Second), g.receiver.now().Add(time.Second)
+		r := g.receiver.Serve(context.Background(), f)
+		is.Equal(r.Execution == jaypitch.NotExecuted, r.Code != jaypitch.CodeOK)
+		is.True(r.LoadReport.Refusing || r.Code != jaypitch.CodeFailing)
+		return r.Code
+	}
+	for range 10 {
+		is.Equal(refusedBy(), jaypitch.CodeShed)
+	}
+	ahead += time.Second
+	is.Equal(refusedBy(), jaypitch.CodeShed) // the last one: all in a row for long enough
+	is.Equal(refusedBy(), jaypitch.CodeFailing)
+	g.server.SetBehaviour(standin.Normal)
+	ahead += time.Minute
+	is.Equal(refusedBy(), jaypitch.CodeOK) // the trial request
+	is.Equal(refusedBy(), jaypitch.CodeOK)
+}
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -46,6 +46,8 @@
 	// is zero if the sender knows of no limit. A receiver that has just started keeps to the limit until a response of the server tells it.
 	LimitHeardAt time.Time
 	RateLimit    float64
+	// NoTrial is true if a server has refused the request already, so that it isn't used to try whether another one still refuses all.
+	NoTrial bool
 }
 
 // Position returns the position of the sender's replica.
@@ -107,6 +109,8 @@
 	Mean time.Duration
 	// Failing is the share of the rule's latest requests that failed at the server, from 0 to 1.
 	Failing float64
+	// Refusing is true if the server refused all of the rule's latest requests without executing them. Failing is zero then.
+	Refusing bool
 	// Stopping is true if the sidecar accepts no new requests.
 	Stopping bool
 	// Leaving is true if the server stated in a response that it is leaving.
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -52,6 +52,8 @@
 	sent, arrived int
 	// overloaded counts the attempts that were refused with CodeOverloaded or CodeServerLimit.
 	overloaded int
+	// refused is true once a server refused the request, or its receiver did so in its place.
+	refused bool
 	// best is the response to return unless a further attempt has a better one; see keepBest.
 	best *jaypitch.MeshResponse
 	// retryAfter is the shortest time after which a receiver expects room; zero if none reported one.
@@ -132,6 +134,7 @@
 	p := d.replica.Position()
 	out.Revision, out.Era = p.Revision, p.Era
 	out.CompleteBy = d.completeBy(a, pick)
+	out.NoTrial = a.refused
 	out.ExpectContinue = pick.ExpectContinue
 	out.LimitHeardAt, out.RateLimit = pick.LimitHeardAt, pick.RateLimit
 	return &out
@@ -148,7 +151,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	pick := d.picker.Pick(d.replica.Table().Services[a.service], route.PickRequest{Rule: a.rule.GetName(), Rank: a.rule.GetRank(), LatencyTarget: a.rule.LatencyTarget(),
-		BodyBytes: len(f.Body), Deadline: f.Deadline, Excluded: a.excluded}, now)
+		BodyBytes: len(f.Body), Deadline: f.Deadline, Excluded: a.excluded, NoTrial: a.refused}, now)
 	if pick.Server != nil {
 		d.picker.Start(pick.Server, now)
 	}
@@ -262,7 +265,8 @@
 	if r.Execution != jaypitch.NotExecuted && !a.rule.GetIdempotent() {
 		return false
 	}
-	if r.Code != jaypitch.CodeBusy && r.Code != jaypitch.CodeFailing {
+	a.refused = a.refused || r.Code == jaypitch.CodeShed || r.LoadReport.Refusing
+	if r.Code != jaypitch.CodeBusy && r.Code != jaypitch.CodeFailing || r.LoadReport.Refusing {
 		// After busy or failing the server may be chosen again: the load report of its refusal has updated the picker's estimate.
 		a.excluded = append(a.excluded, server)
 	}
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -43,6 +43,8 @@
 	limit serverLimit
 	// retryAt is when the server expects to have room for a rule's requests again, by the rule's name.
 	retryAt map[string]time.Time
+	// refusing holds the rules whose requests the server refuses without executing them.
+	refusing map[string]refusingState
 	// rankRetryAt is when the server's rate limit has room for requests of a rank again. Less urgent ones wait for it too.
 	rankRetryAt map[int64]time.Time
 }
@@ -83,6 +85,8 @@
 	Deadline time.Time
 	// Excluded are the IDs of servers that must not be chosen, since an earlier attempt failed there.
 	Excluded []string
+	// NoTrial is true if a server has refused the request already. It skips the servers that refused all of the rule's latest requests.
+	NoTrial bool
 }
 
 // MeshPick is the result of a choice: a server, or the time after which one expects room.
@@ -172,6 +176,10 @@
 			continue
 		}
 		e := c.server(v, now)
+		if _, refusing := e.refusing[q.Rule]; refusing && q.NoTrial {
+			p.skip(minRefusingHoldOff, false)
+			continue
+		}
 		wait, limited := e.retryWait(q, now), false
 		if w := e.limit.wait(now); w > 0 && now.Add(w+c.meanTimeAt(e, q.Rule, now)).After(q.Deadline) {
 			wait, limited = max(w, wait), true
@@ -386,6 +394,7 @@
 	if r.LoadReport.Mean > 0 {
 		e.ruleReports[rule] = ruleReport{mean: r.LoadReport.Mean, failing: r.LoadReport.Failing, until: now.Add(meanMaxAge)}
 	}
+	c.recordRefusing(e, rule, r, now)
 	if r.LoadReport.Stopping || r.Code == jaypitch.CodeMisdirected || r.Code == jaypitch.CodeNotThisHost || r.Code == jaypitch.CodeStopping {
 		e.avoidUntil = now.Add(avoidDuration)
 	}
@@ -467,7 +476,7 @@
 func (c *MeshPicker) server(v *schema.MeshServer, now time.Time) *serverState {
 	e := c.servers[v.GetId()]
 	if e == nil {
-		e = &serverState{server: v, ruleReports: map[string]ruleReport{}, retryAt: map[string]time.Time{}, rankRetryAt: map[int64]time.Time{}, coldUntil: now.Add(time.Duration(v.GetColdUs()) * time.Microsecond)}
+		e = &serverState{server: v, ruleReports: map[string]ruleReport{}, retryAt: map[string]time.Time{}, refusing: map[string]refusingState{}, rankRetryAt: map[int64]time.Time{}, coldUntil: now.Add(time.Duration(v.GetColdUs()) * time.Microsecond)}
 		c.servers[v.GetId()] = e
 	}
 	return e
--- a/route/overload_test.go
+++ b/route/overload_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/admit"
 	"github.com/jaypitch/jaypitch/mesh"
@@ -66,20 +68,23 @@
 	// shed counts the attempts that servers answered as not executed, after the first second of the burst shedLate; shedTwice counts the
 	// requests with more than one of these.
 	shed, shedLate, shedTwice int
-	elsewhere, attempts       int
+	// heldBack counts the attempts that receivers refused in place of a refusing server.
+	heldBack            int
+	elsewhere, attempts int
 }
 
 // overloadHost is a host with its sender, its receiver and its server.
 type overloadHost struct {
-	server  *schema.MeshServer
-	centre  int
-	factor  float64
-	odd     bool
-	picker  *route.MeshPicker
-	budget  *route.MeshRetryBudget
-	slots   *admit.Slots
-	failing map[string]float64
-	started int
+	server   *schema.MeshServer
+	centre   int
+	factor   float64
+	odd      bool
+	picker   *route.MeshPicker
+	budget   *route.MeshRetryBudget
+	slots    *admit.Slots
+	failing  map[string]float64
+	refusals admit.ServerRefusals
+	started  int
 }
 
 // overloadRequest is a request of a client, or a call of a server. Done is called when it has ended.
@@ -90,7 +95,7 @@
 	sent, arrived, overloaded, wasted int
 	retryAfter                        time.Duration
 	excluded                          []string
-	retried                           bool
+	retried, refused                  bool
 	done                              func(ok bool)
 }
 
@@ -221,7 +226,7 @@
 }
 
 func (r *overloadReplay) begin(q *overloadRequest) {
-	q.target, q.sent, q.arrived, q.overloaded, q.retryAfter, q.excluded = r.now.Add(q.kind.target), 0, 0, 0, 0, nil
+	q.target, q.sent, q.arrived, q.overloaded, q.retryAfter, q.excluded, q.refused, q.wasted = r.now.Add(q.kind.target), 0, 0, 0, 0, nil, false, 0
 	q.sender.budget.RecordRequest(q.kind.service, r.now)
 	r.attempt(q)
 }
@@ -229,7 +234,7 @@
 // attempt chooses a server and sends the request there, as Dispatcher.Do does.
 func (r *overloadReplay) attempt(q *overloadRequest) {
 	k := q.kind
-	pick := q.sender.picker.Pick(r.services[k.service], route.PickRequest{Rule: k.rule, Rank: k.rank, LatencyTarget: k.target, BodyBytes: 500, Deadline: q.deadline, Excluded: q.excluded}, r.now)
+	pick := q.sender.picker.Pick(r.services[k.service], route.PickRequest{Rule: k.rule, Rank: k.rank, LatencyTarget: k.target, BodyBytes: 500, Deadline: q.deadline, Excluded: q.excluded, NoTrial: q.refused}, r.now)
 	if pick.Server == nil {
 		q.retryAfter = max(q.retryAfter, pick.RetryAfter)
 		r.refuse(q)
@@ -261,6 +266,11 @@
 		r.respond(a, &jaypitch.MeshResponse{Execution: jaypitch.NotExecuted, Code: jaypitch.CodeFailing})
 		return
 	}
+	if e := h.refusals.Admit(a.slot.Rule, !a.request.refused, r.now); e != nil {
+		r.heldBack++
+		r.respond(a, &jaypitch.MeshResponse{Execution: jaypitch.NotExecuted, Code: e.Code})
+		return
+	}
 	started, e := h.slots.Admit(a.slot, r.now)
 	switch {
 	case e != nil:
@@ -342,6 +352,9 @@
 		failed, took = 1, 0
 	}
 	h.failing[a.slot.Rule] += failingWeight * (failed - h.failing[a.slot.Rule])
+	if h.refusals.Record(a.slot.Rule, response.Code == jaypitch.CodeShed, r.now) || h.refusals.Refusing(a.slot.Rule, r.now) {
+		h.failing[a.slot.Rule] = 0
+	}
 	h.slots.Finish(a.slot, took)
 	r.respond(a, response)
 	start, expired := h.slots.Next(r.now)
@@ -356,7 +369,7 @@
 func (r *overloadReplay) respond(a *overloadAttempt, response *jaypitch.MeshResponse) {
 	delete(r.queued, a.slot)
 	s := a.host.slots
-	response.LoadReport = jaypitch.MeshLoadReport{InProgress: s.InProgress(), Queued: s.Queued(), Slots: s.Size(), Mean: s.ExpectedServiceTime(a.slot.Rule, r.now), Failing: a.host.failing[a.slot.Rule]}
+	response.LoadReport = jaypitch.MeshLoadReport{InProgress: s.InProgress(), Queued: s.Queued(), Slots: s.Size(), Mean: s.ExpectedServiceTime(a.slot.Rule, r.now), Failing: a.host.failing[a.slot.Rule], Refusing: a.host.refusals.Refusing(a.slot.Rule, r.now)}
 	if a.host != a.request.sender {
 		response.NetworkTime = 2 * r.oneWayTo(a)
 	}
@@ -375,7 +388,8 @@
 		r.end(q, response.Status < 500)
 		return
 	}
-	if response.Code != jaypitch.CodeBusy && response.Code != jaypitch.CodeFailing {
+	q.refused = q.refused || response.Code == jaypitch.CodeShed || response.LoadReport.Refusing
+	if response.Code != jaypitch.CodeBusy && response.Code != jaypitch.CodeFailing || response.LoadReport.Refusing {
 		q.excluded = append(q.excluded, a.host.server.GetId())
 	}
 	if response.Code == jaypitch.CodeOverloaded {
@@ -476,7 +490,7 @@
 	}) {
 		t.Logf("%s: busiest server %.2f of its fair share", s, r.busiest(s))
 	}
-	t.Logf("worth %.4f, attempts %d, elsewhere %.3f, shed %d, after the first second %d, twice %d", r.worth(), r.attempts, float64(r.elsewhere)/float64(r.attempts), r.shed, r.shedLate, r.shedTwice)
+	t.Logf("worth %.4f, attempts %d, elsewhere %.3f, shed %d, after the first second %d, twice %d, held back %d", r.worth(), r.attempts, float64(r.elsewhere)/float64(r.attempts), r.shed, r.shedLate, r.shedTwice, r.heldBack)
 }
 
 // fourServices is the deployment of four services that the design page measured under overload. Demand is about 1.2 times the room. The
@@ -512,16 +526,30 @@
 		}}
 }
 
-// halfRefusing is fourServices with room for all, and a burst in which half of the servers of service a refuse everything.
-func halfRefusing() deployment {
+// halfRefusing is fourServices with room for all, and a burst in which half of the servers of a service refuse everything.
+func halfRefusing(service string) deployment {
 	d := fourServices()
-	d.servers = map[string]int{"a": 22, "b": 16, "c": 9, "d": 18}
-	d.burst, d.burstFrom, d.burstUntil, d.refusing = 1.5, 5*time.Second, 13*time.Second, "a"
+	d.servers = map[string]int{"a": 17, "b": 14, "c": 8, "d": 15}
+	d.burst, d.burstFrom, d.burstUntil, d.refusing = 1.5, 5*time.Second, 13*time.Second, service
 	return d
 }
 
+// TestRefusingServersCostAttempts guards against servers that refuse everything, and get more than trial requests since their slots are free:
+// after the first second no request meets two of them, and at most 2 in 100 of the requests for their service meet one.
+func TestRefusingServersCostAttempts(t *testing.T) {
+	for _, service := range []string{"a", "b"} {
+		t.Run(service, func(t *testing.T) {
+			is := is.New(t)
+			r := replayOverload(halfRefusing(service))
+			r.log(t)
+			is.Equal(r.shedTwice, 0)
+			is.True(r.shedLate < 180)
+		})
+	}
+}
+
 func TestOverload(t *testing.T) {
-	for name, d := range map[string]deployment{"four services": fourServices(), "uneven servers": unevenServers(), "half refusing": halfRefusing()} {
+	for name, d := range map[string]deployment{"four services": fourServices(), "uneven servers": unevenServers()} {
 		t.Run(name, func(t *testing.T) { replayOverload(d).log(t) })
 	}
 }
