Calls of begun work aren't refused for the queue of work that hasn't begun

A call that is refused wastes the slot of the request that made it. Calls waited behind the standing queue of requests of the same rank with longer targets, which then refused them: call_c 0.236 refused while kind c was on target at 0.997, and 0.284 of kind b failed for it. The receiver now tells rules of calls from those of clients by the calling service: clients are at hosts of all services, calls come from the servers of one. The queue of what isn't a call doesn't refuse a call of its rank, and counts as one more call each if it is more urgent. The order of starts stays. Requests without a calling service are treated as before; admit/load_test.go is unchanged.

--- a/admit/slots.go
+++ b/admit/slots.go
@@ -13,6 +13,8 @@
 	// Rank is the priority class; 0 is the most urgent.
 	Rank int64
 	Rule string
+	// CallerService is the service of the host that sent the request; empty if unknown.
+	CallerService string
 	// Deadline is when the client or the rule times out, TargetDeadline the end of the rule's latency target, and
 	// CompleteBy when the next best server would have completed the request; zero if no other server is better.
 	Deadline, TargetDeadline, CompleteBy time.Time
@@ -55,6 +57,8 @@
 	// load is the number of slots that the rule's arrivals keep in use, a moving average over about loadTime, as it was at loadAt.
 	load   float64
 	loadAt time.Time
+	// callers tells whether the rule is one of calls.
+	callers callerStats
 }
 
 const (
@@ -282,6 +286,7 @@
 		s.rules[w.Rule] = r
 	}
 	r.rank, r.target = w.Rank, w.TargetDeadline.Sub(w.arrived)
+	r.callers.record(w.CallerService)
 	r.addLoad(s.MeanServiceTime(w.Rule), w.arrived)
 	s.reservedAt = time.Time{}
 }
@@ -344,12 +349,20 @@
 
 // backlog is the queue time that decides whether a request is refused at random: that of the queued requests which start before it or are at
 // least as urgent. A less urgent one that starts later doesn't delay it, but counts as one more request like it, so that kinds of about the
-// same length are refused alike. It doesn't count if the slots that w needs are reserved.
+// same length are refused alike. It doesn't count if the slots that w needs are reserved. For a call, which a server makes while it executes a
+// request, what isn't a call doesn't count at all if it is of the call's rank or a less urgent one, and else as one more request like the call:
+// a refused call wastes the slot of the request that made it.
 func (s *Slots) backlog(w *SlotRequest, now time.Time) time.Duration {
 	var sum time.Duration
-	n := 0
+	n, isCall := 0, s.calls(w.Rule)
 	for _, o := range s.queue {
 		mean := s.MeanServiceTime(o.Rule)
+		if isCall && !s.calls(o.Rule) {
+			if o.Rank >= w.Rank {
+				continue
+			}
+			mean = min(mean, s.MeanServiceTime(w.Rule))
+		}
 		if o.Rank > w.Rank && !s.startsBefore(o, w, now) {
 			if s.slotsFor(o.Rule, now) < s.size {
 				continue
--- a/route/overload_test.go
+++ b/route/overload_test.go
@@ -77,6 +77,7 @@
 type overloadHost struct {
 	server   *schema.MeshServer
 	centre   int
+	service  string
 	factor   float64
 	odd      bool
 	picker   *route.MeshPicker
@@ -85,6 +86,8 @@
 	failing  map[string]float64
 	refusals admit.ServerRefusals
 	started  int
+	// used is the time for which slots were in use.
+	used time.Duration
 }
 
 // overloadRequest is a request of a client, or a call of a server. Done is called when it has ended.
@@ -170,7 +173,7 @@
 	}) {
 		s := &mesh.Service{Name: service}
 		for i := range r.servers[service] {
-			h := &overloadHost{centre: len(r.hosts) % len(r.oneWay), factor: 1, odd: i%2 == 1, failing: map[string]float64{}, slots: admit.NewSlots(r.deployment.slots, r.random.Float64)}
+			h := &overloadHost{service: service, centre: len(r.hosts) % len(r.oneWay), factor: 1, odd: i%2 == 1, failing: map[string]float64{}, slots: admit.NewSlots(r.deployment.slots, r.random.Float64)}
 			if r.speeds {
 				h.factor = 0.6 + float64(i)/float64(r.servers[service]-1)
 			}
@@ -243,7 +246,7 @@
 	h := r.byID[pick.Server.GetId()]
 	q.sender.picker.Start(pick.Server, r.now)
 	a := &overloadAttempt{request: q, host: h}
-	a.slot = &admit.SlotRequest{Rule: k.rule, Rank: k.rank, Deadline: q.deadline, TargetDeadline: q.target}
+	a.slot = &admit.SlotRequest{Rule: k.rule, Rank: k.rank, Deadline: q.deadline, TargetDeadline: q.target, CallerService: q.sender.service}
 	if q.sent < completeByAttempts && pick.AlternativeTime > 0 {
 		a.slot.CompleteBy = r.now.Add(pick.AlternativeTime + completeByMargin)
 	}
@@ -348,6 +351,7 @@
 	a.ended = true
 	h, failed, took := a.host, 0.0, r.now.Sub(a.started)
 	response.ServiceTime = took
+	h.used += took
 	if response.Execution != jaypitch.Executed || response.Status >= 500 {
 		failed, took = 1, 0
 	}
@@ -488,7 +492,12 @@
 			}
 		}
 	}) {
-		t.Logf("%s: busiest server %.2f of its fair share", s, r.busiest(s))
+		used := time.Duration(0)
+		for _, v := range r.services[s].Servers {
+			used += r.byID[v.GetId()].used
+		}
+		room := r.duration * time.Duration(len(r.services[s].Servers)*r.deployment.slots)
+		t.Logf("%s: busiest server %.2f of its fair share, slots in use %.3f", s, r.busiest(s), float64(used)/float64(room))
 	}
 	t.Logf("worth %.4f, attempts %d, elsewhere %.3f, shed %d, after the first second %d, twice %d, held back %d", r.worth(), r.attempts, float64(r.elsewhere)/float64(r.attempts), r.shed, r.shedLate, r.shedTwice, r.heldBack)
 }
@@ -548,8 +557,20 @@
 	}
 }
 
-func TestOverload(t *testing.T) {
-	for name, d := range map[string]deployment{"four services": fourServices(), "uneven servers": unevenServers()} {
-		t.Run(name, func(t *testing.T) { replayOverload(d).log(t) })
+// TestCallsOfBegunWorkAreRefused guards against refusing a call, which wastes the slot of the request that made it, rather than a request that hasn't
+// begun: at most 2 in 100 of each kind fail for a call under an overload of 1.2.
+func TestCallsOfBegunWorkAreRefused(t *testing.T) {
+	r := replayOverload(fourServices())
+	r.log(t)
+	for _, k := range r.kinds {
+		c := r.counts[k.rule]
+		if failed := float64(c.failed) / float64(c.offered); failed > 0.02 {
+			t.Errorf("%.3f of the requests of rule %s failed for a call", failed, k.rule)
+		}
 	}
 }
+
+func TestUnevenServers(t *testing.T) {
+	r := replayOverload(unevenServers())
+	r.log(t)
+}
