--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -33,8 +33,8 @@
 	mu       sync.Mutex
 	slots    *admit.Slots
 	serverID string
-	// failing is the moving average of the share of failed requests, by rule.
-	failing map[string]float64
+	// failing is the share of failed requests, by rule.
+	failing map[string]admit.FailureShare
 	// refusals holds the rules whose requests the server refuses without executing them.
 	refusals admit.ServerRefusals
 	stopping bool
@@ -63,8 +63,6 @@
 	// maxBufferedBody is the size in bytes of the longest response body of known length that is buffered. A body of unknown length is
 	// streamed from this size.
 	maxBufferedBody = 256 << 10
-	// failingWeight is the weight of the newest request in the share of failed requests.
-	failingWeight = 0.1
 	// failingLimit is the share of failed requests above which a rule's requests with a complete-by time are refused, so that the sender
 	// retries them at another server.
 	failingLimit = 0.15
@@ -81,7 +79,7 @@
 func NewReceiver(address string, names jaypitch.HeaderNames, replica *mesh.Replica, sourceAge func() time.Duration, pool *http1.Pool, now func() time.Time,
 	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, queueTime time.Duration), options ...Option) *Receiver {
 	r := &Receiver{address: address, names: names, replica: replica, sourceAge: sourceAge, pool: pool, now: now, record: record,
-		slots: admit.NewSlots(defaultSlots, rand.Float64), random: rand.Float64, failing: map[string]float64{}}
+		slots: admit.NewSlots(defaultSlots, rand.Float64), random: rand.Float64, failing: map[string]admit.FailureShare{}}
 	for _, o := range options {
 		o(r)
 	}
@@ -136,7 +134,7 @@
 		r.mu.Unlock()
 		return refusal(e)
 	}
-	if failing := r.failing[f.Rule]; failing > failingLimit && !f.CompleteBy.IsZero() && r.random() > failingTrialShare {
+	if failing := r.failing[f.Rule].At(r.now()); failing > failingLimit && !f.CompleteBy.IsZero() && r.random() > failingTrialShare {
 		r.mu.Unlock()
 		return refusal(jaypitch.Errorf(jaypitch.CodeFailing, "the backend server failed %.2f of the latest requests of rule %q", failing, f.Rule))
 	}
@@ -397,10 +395,10 @@
 
 // recordResult updates the rule's share of failed requests and releases the slot.
 func (r *Receiver) recordResult(w *admit.SlotRequest, response *jaypitch.MeshResponse, serviceTime time.Duration) {
-	failed := 0.0
+	failed := false
 	if response.Execution != jaypitch.Executed && response.Code != jaypitch.CodeCallerGone && response.Code != jaypitch.CodeMisdirected ||
 		response.Status >= http.StatusInternalServerError && response.Status != http.StatusGatewayTimeout {
-		failed, serviceTime = 1, 0
+		failed, serviceTime = true, 0
 	}
 	r.mu.Lock()
 	r.recordFailure(w.Rule, failed, response)
@@ -410,11 +408,13 @@
 
 // recordFailure updates the rule's share of failed requests. Those that the server refused don't count as long as it refuses all, since
 // the rule's requests are held back then. The caller holds the lock.
-func (r *Receiver) recordFailure(rule string, failed float64, response *jaypitch.MeshResponse) {
-	r.failing[rule] += failingWeight * (failed - r.failing[rule])
+func (r *Receiver) recordFailure(rule string, failed bool, response *jaypitch.MeshResponse) {
+	share := r.failing[rule]
+	share.Record(failed, r.now())
+	r.failing[rule] = share
 	if response.Code == jaypitch.CodeShed || response.Execution == jaypitch.Executed {
 		if r.refusals.Record(rule, response.Code == jaypitch.CodeShed, r.now()) || r.refusals.Refusing(rule, r.now()) {
-			r.failing[rule] = 0
+			delete(r.failing, rule)
 		}
 	}
 }
@@ -466,7 +466,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
-		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Refusing: r.refusals.Refusing(f.Rule, r.now()), Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
+		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule].At(r.now()), Refusing: r.refusals.Refusing(f.Rule, r.now()), Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
 	if r.notice.Limited {
 		report.Limited, report.RateLimit, report.LimitWait = true, r.notice.RateLimit, r.slots.LimitWait(r.now())
 	}
--- a/route/overload_test.go
+++ b/route/overload_test.go
@@ -83,7 +83,7 @@
 	picker   *route.MeshPicker
 	budget   *route.MeshRetryBudget
 	slots    *admit.Slots
-	failing  map[string]float64
+	failing  map[string]admit.FailureShare
 	refusals admit.ServerRefusals
 	started  int
 	// used is the time for which slots were in use.
@@ -127,7 +127,6 @@
 	completeByAttempts = 2
 	maxOverloaded      = 2
 	completeByMargin   = 5 * time.Millisecond
-	failingWeight      = 0.1
 	failingLimit       = 0.15
 	failingTrialShare  = 0.1
 )
@@ -173,7 +172,7 @@
 	}) {
 		s := &mesh.Service{Name: service}
 		for i := range r.servers[service] {
-			h := &overloadHost{service: service, centre: len(r.hosts) % len(r.oneWay), factor: 1, odd: i%2 == 1, failing: map[string]float64{}, slots: admit.NewSlots(r.deployment.slots, r.random.Float64)}
+			h := &overloadHost{service: service, centre: len(r.hosts) % len(r.oneWay), factor: 1, odd: i%2 == 1, failing: map[string]admit.FailureShare{}, slots: admit.NewSlots(r.deployment.slots, r.random.Float64)}
 			if r.speeds {
 				h.factor = 0.6 + float64(i)/float64(r.servers[service]-1)
 			}
@@ -265,7 +264,7 @@
 // receive admits the request, as Receiver.admit does.
 func (r *overloadReplay) receive(a *overloadAttempt) {
 	h := a.host
-	if f := h.failing[a.slot.Rule]; f > failingLimit && !a.slot.CompleteBy.IsZero() && r.random.Float64() > failingTrialShare {
+	if f := h.failing[a.slot.Rule].At(r.now); f > failingLimit && !a.slot.CompleteBy.IsZero() && r.random.Float64() > failingTrialShare {
 		r.respond(a, &jaypitch.MeshResponse{Execution: jaypitch.NotExecuted, Code: jaypitch.CodeFailing})
 		return
 	}
@@ -349,15 +348,17 @@
 // finish releases the slot, as Receiver.recordResult does, and starts what waits for it.
 func (r *overloadReplay) finish(a *overloadAttempt, response *jaypitch.MeshResponse) {
 	a.ended = true
-	h, failed, took := a.host, 0.0, r.now.Sub(a.started)
+	h, failed, took := a.host, false, r.now.Sub(a.started)
 	response.ServiceTime = took
 	h.used += took
 	if response.Execution != jaypitch.Executed || response.Status >= 500 {
-		failed, took = 1, 0
+		failed, took = true, 0
 	}
-	h.failing[a.slot.Rule] += failingWeight * (failed - h.failing[a.slot.Rule])
+	share := h.failing[a.slot.Rule]
+	share.Record(failed, r.now)
+	h.failing[a.slot.Rule] = share
 	if h.refusals.Record(a.slot.Rule, response.Code == jaypitch.CodeShed, r.now) || h.refusals.Refusing(a.slot.Rule, r.now) {
-		h.failing[a.slot.Rule] = 0
+		delete(h.failing, a.slot.Rule)
 	}
 	h.slots.Finish(a.slot, took)
 	r.respond(a, response)
@@ -373,7 +374,7 @@
 func (r *overloadReplay) respond(a *overloadAttempt, response *jaypitch.MeshResponse) {
 	delete(r.queued, a.slot)
 	s := a.host.slots
-	response.LoadReport = jaypitch.MeshLoadReport{InProgress: s.InProgress(), Queued: s.Queued(), Slots: s.Size(), Mean: s.ExpectedServiceTime(a.slot.Rule, r.now), Failing: a.host.failing[a.slot.Rule], Refusing: a.host.refusals.Refusing(a.slot.Rule, r.now)}
+	response.LoadReport = jaypitch.MeshLoadReport{InProgress: s.InProgress(), Queued: s.Queued(), Slots: s.Size(), Mean: s.ExpectedServiceTime(a.slot.Rule, r.now), Failing: a.host.failing[a.slot.Rule].At(r.now), Refusing: a.host.refusals.Refusing(a.slot.Rule, r.now)}
 	if a.host != a.request.sender {
 		response.NetworkTime = 2 * r.oneWayTo(a)
 	}
