--- a/inbound/cold.go
+++ b/inbound/cold.go
@@ -233,5 +233,6 @@
 	r.serverID = id
 	r.slots.Reset()
 	clear(r.failing)
+	r.refusals.Reset()
 	r.notice, r.noticed = jaypitch.ServerNotice{}, false
 }
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -37,8 +37,10 @@
 	mu       sync.Mutex
 	slots    *admit.Slots
 	serverID string
-	// failing is the moving average of the share of failed requests, by rule.
-	failing  map[string]float64
+	// failing is the share of failed requests, by rule.
+	failing map[string]admit.FailureShare
+	// refusals holds the rules whose requests the server refuses without executing them.
+	refusals admit.ServerRefusals
 	stopping bool
 	// notice is the latest notice of the server with serverID. Until noticed is true, the server has not responded to this process, and the
 	// notice is what a sender reported, if any did.
@@ -70,8 +72,6 @@
 	// maxBufferedBody is the size in bytes of the longest response body of known length that is buffered. A body of unknown length is
 	// streamed from this size.
 	maxBufferedBody = 256 << 10
-	// failingWeight is the weight of the newest request in the share of failed requests.
-	failingWeight = 0.1
 	// failingLimit is the share of failed requests above which a rule's requests with a complete-by time are refused, so that the sender
 	// retries them at another server.
 	failingLimit = 0.15
@@ -88,7 +88,7 @@
 func NewReceiver(address string, names jaypitch.HeaderNames, replica *mesh.Replica, sourceAge func() time.Duration, pool *http1.Pool, now func() time.Time,
 	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, queueTime time.Duration), options ...Option) *Receiver {
 	r := &Receiver{address: address, names: names, replica: replica, sourceAge: sourceAge, pool: pool, now: now, record: record,
-		slots: admit.NewSlots(defaultSlots, rand.Float64), random: rand.Float64, failing: map[string]float64{}}
+		slots: admit.NewSlots(defaultSlots, rand.Float64), random: rand.Float64, failing: map[string]admit.FailureShare{}}
 	for _, o := range options {
 		o(r)
 	}
@@ -119,7 +119,7 @@
 // Serve admits a request, sends it to the server and returns the response, or a refusal. The caller closes the response's Stream.
 func (r *Receiver) Serve(ctx context.Context, f *jaypitch.MeshRequest) *jaypitch.MeshResponse {
 	arrived := r.now()
-	w := &admit.SlotRequest{Rank: f.Rank, Rule: f.Rule, Deadline: f.Deadline, TargetDeadline: f.TargetDeadline,
+	w := &admit.SlotRequest{Rank: f.Rank, Rule: f.Rule, CallerService: f.CallerService, Deadline: f.Deadline, TargetDeadline: f.TargetDeadline,
 		CompleteBy: f.CompleteBy, Decision: make(chan *jaypitch.Error, 1)}
 	server := r.replica.Table().Servers[f.ServerID]
 	transfer, response := r.links.admitTransfer(f)
@@ -146,7 +146,11 @@
 	}
 	r.mu.Lock()
 	r.adoptLimit(f)
-	if failing := r.failing[f.Rule]; failing > failingLimit && !f.CompleteBy.IsZero() && r.random() > failingTrialShare {
+	if e := r.refusals.Admit(f.Rule, !f.NoTrial, r.now()); e != nil {
+		r.mu.Unlock()
+		return refusal(e)
+	}
+	if failing := r.failing[f.Rule].At(r.now()); failing > failingLimit && !f.CompleteBy.IsZero() && r.random() > failingTrialShare {
 		r.mu.Unlock()
 		return refusal(jaypitch.Errorf(jaypitch.CodeFailing, "the backend server failed %.2f of the latest requests of rule %q", failing, f.Rule))
 	}
@@ -419,17 +423,30 @@
 
 // recordResult updates the rule's share of failed requests and releases the slot.
 func (r *Receiver) recordResult(w *admit.SlotRequest, response *jaypitch.MeshResponse, serviceTime time.Duration) {
-	failed := 0.0
+	failed := false
 	if response.Execution != jaypitch.Executed && response.Code != jaypitch.CodeCallerGone && response.Code != jaypitch.CodeMisdirected ||
 		response.Status >= http.StatusInternalServerError && response.Status != http.StatusGatewayTimeout {
-		failed, serviceTime = 1, 0
+		failed, serviceTime = true, 0
 	}
 	r.mu.Lock()
-	r.failing[w.Rule] += failingWeight * (failed - r.failing[w.Rule])
+	r.recordFailure(w.Rule, failed, response)
 	r.mu.Unlock()
 	r.releaseSlot(w, serviceTime)
 }
 
+// recordFailure updates the rule's share of failed requests. Those that the server refused don't count as long as it refuses all, since
+// the rule's requests are held back then. The caller holds the lock.
+func (r *Receiver) recordFailure(rule string, failed bool, response *jaypitch.MeshResponse) {
+	share := r.failing[rule]
+	share.Record(failed, r.now())
+	r.failing[rule] = share
+	if response.Code == jaypitch.CodeShed || response.Execution == jaypitch.Executed {
+		if r.refusals.Record(rule, response.Code == jaypitch.CodeShed, r.now()) || r.refusals.Refusing(rule, r.now()) {
+			delete(r.failing, rule)
+		}
+	}
+}
+
 // releaseSlot releases a slot and starts the queued requests that fit now. A service time of zero doesn't count towards the means.
 func (r *Receiver) releaseSlot(w *admit.SlotRequest, serviceTime time.Duration) {
 	r.mu.Lock()
@@ -478,7 +495,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
-		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
+		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule].At(r.now()), Refusing: r.refusals.Refusing(f.Rule, r.now()), Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
 	if rate, limited := r.slots.RateLimit(r.now()); limited {
 		if r.notice.Limited {
 			rate = min(rate, r.notice.RateLimit)
