--- a/cmd/jaypitchd/explain_test.go
+++ b/cmd/jaypitchd/explain_test.go
@@ -28,8 +28,8 @@
 	t.Fatalf("not true within a minute: %s", what)
 }
 
-// newMesh starts the sidecars of two hosts as processes. Only the server of the second host is listed, so it gets all requests.
-func newMesh(t *testing.T, network, slots int, serviceTime time.Duration) *scenario.Mesh {
+// newMesh starts the sidecars of two hosts as processes, with further settings. Only the server of the second host is listed, so it gets all requests.
+func newMesh(t *testing.T, network, slots int, serviceTime time.Duration, settings ...string) *scenario.Mesh {
 	t.Helper()
 	dir := t.TempDir()
 	sidecarProgram := filepath.Join(dir, "jaypitchd")
@@ -41,6 +41,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(m.Close)
+	m.Settings = strings.Join(settings, "")
 	for range 2 {
 		if err := m.AddHost(slots, serviceTime); err != nil {
 			t.Fatal(err)
--- a/scenario/mesh.go
+++ b/scenario/mesh.go
@@ -21,6 +21,8 @@
 type Mesh struct {
 	Store *standin.Store
 	Hosts []*MeshHost
+	// Settings follows the other settings of hosts that are added later.
+	Settings string
 
 	sidecarProgram string
 	dir            string
@@ -106,7 +108,7 @@
 	for _, name := range []string{"callers", "peers", "ready", "metrics"} {
 		text += fmt.Sprintf("%s = %s:%d\n", name, h.IP, m.ports[name])
 	}
-	text += fmt.Sprintf("[store]\naddress = %s\n", m.storeAddress)
+	text += fmt.Sprintf("[store]\naddress = %s\n%s", m.storeAddress, m.Settings)
 	file := filepath.Join(m.dir, fmt.Sprintf("sidecar_%d.ini", i))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("writing the settings of a sidecar: %w", err)
--- a/scenario/recovery.go
+++ b/scenario/recovery.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/jaypitch/jaypitch/standin"
 )
@@ -37,3 +38,16 @@
 	}
 	return body
 }
+
+// RestartServer ends the backend server of a host, if it still runs, and starts another one at its address with a new ID. The caller registers it.
+func (m *Mesh) RestartServer(i, slots int, serviceTime time.Duration) error {
+	h := m.Hosts[i]
+	h.Server.Crash()
+	h.ServerID += "x"
+	server, err := standin.NewMeshServer(h.Server.Address(), h.ServerID, slots, serviceTime)
+	if err != nil {
+		return fmt.Errorf("starting a backend server: %w", err)
+	}
+	h.Server = server
+	return nil
+}
--- a/standin/cold.go
+++ b/standin/cold.go
@@ -38,6 +38,37 @@
 	return s.health.requests
 }
 
+// Crash closes the listener and all connections, as the end of the process does.
+func (s *MeshServer) Crash() {
+	s.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.open {
+		_ = c.Close() // may be closed already
+	}
+}
+
+// MostInSecond returns the largest number of requests that were executed within one second of a time span.
+func (s *MeshServer) MostInSecond(from, until time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most, first := 0, 0
+	for i, t := range s.arrivals {
+		if t.Before(from) {
+			first = i + 1
+			continue
+		}
+		if !t.Before(until) {
+			break
+		}
+		for !s.arrivals[first].Add(time.Second).After(t) {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // respondHealth responds to a request at the health path. It reports whether the request was one, and whether the connection can stay open. It takes
 // a slot like any other request.
 func (s *MeshServer) respondHealth(w io.Writer, r *http.Request) (is, stays bool) {
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -30,6 +30,10 @@
 	// notice holds the lines of the header with what the server states about itself, each with its line end.
 	notice string
 	health health
+	// open holds the connections that were accepted, for Crash; some may be closed.
+	open []net.Conn
+	// arrivals are the times at which requests were executed.
+	arrivals []time.Time
 }
 
 // Behaviour is how a MeshServer responds to requests.
@@ -185,6 +189,7 @@
 		}
 		s.mu.Lock()
 		s.connections++
+		s.open = append(s.open, c)
 		s.mu.Unlock()
 		go (&meshServerConn{server: s, conn: c}).serve()
 	}
@@ -244,6 +249,7 @@
 	s.mu.Lock()
 	s.running++
 	s.executions[attemptID]++
+	s.arrivals = append(s.arrivals, time.Now())
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
--- a/standin/recovery.go
+++ b/standin/recovery.go
@@ -1,6 +1,9 @@
 package standin
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // ServerEntry is the entry of a ready server with its data centre and its cold time.
 type ServerEntry struct {
@@ -31,3 +34,12 @@
 		"info":   map[string]any{"service": e.Service, "zone": e.DataCentre, "slots": e.Slots},
 		"status": map[string]any{"state": "ready", "seq": e.Seq, "coldRemainingS": e.Cold.Seconds()}})
 }
+
+// PutColdConfig writes a configuration like PutConfig, whose service has a limit for cold servers and a health endpoint.
+func (s *Store) PutColdConfig(version int, host, service, prefix, healthPath string, cold time.Duration, perSecond float64) int64 {
+	rule := map[string]any{"name": prefix, "kind": "idempotent", "targetLatencyS": 0.5, "priority": 1, "match": map[string]any{"prefix": prefix},
+		"action": map[string]any{"service": service, "timeoutS": 1, "maxAttempts": 2}}
+	return s.putJSON(ConfigKey, map[string]any{"version": "r" + strconv.Itoa(version), "limits": map[string]any{"maxBodyBytes": 1000},
+		"listeners": []any{map[string]any{"host": host, "routeRules": []any{rule}}},
+		"clusters":  []any{map[string]any{"name": service, "healthPath": healthPath, "coldStartS": cold.Seconds(), "coldPerS": perSecond}}})
+}
