--- a/inbound/cold.go
+++ b/inbound/cold.go
@@ -85,12 +85,25 @@
 	return r.cold.state.Until(r.now())
 }
 
-// observeTable takes over what a table tells of the server, unless it did so before. The caller holds the lock.
+// coldServersExpected reports whether the settings allow an excess over the rate of cold servers: they name none where there are no cold servers.
+func (r *Receiver) coldServersExpected() bool {
+	if r.cold.Bounds == nil {
+		return false
+	}
+	overage, slack := r.cold.Bounds()
+	return overage > 1 || slack > 0
+}
+
+// observeTable takes over what a table and the settings tell of the server, unless it did so before. The caller holds the lock.
 func (r *Receiver) observeTable(t *mesh.Table) {
-	if r.cold.Bounds == nil || r.cold.table == t {
+	if r.cold.Bounds == nil {
 		return
 	}
-	r.cold.table = t
+	overage, slack := r.cold.Bounds()
+	if r.cold.table == t && r.cold.limits.Overage == overage && r.cold.limits.Slack == slack {
+		return
+	}
+	r.cold.table, r.cold.limits.Overage, r.cold.limits.Slack = t, overage, slack
 	v := t.ServerAt(r.address)
 	service, dataCentre := r.cold.Service, r.dataCentre
 	if v != nil {
@@ -113,10 +126,9 @@
 
 // setColdLimits takes over the limits of the server's service.
 func (r *Receiver) setColdLimits(l *schema.MeshServiceLimits) {
-	overage, slack := r.cold.Bounds()
 	r.cold.path = l.GetHealthPath()
-	r.cold.limits = admit.ColdLimits{Time: time.Duration(l.GetColdUs()) * time.Microsecond, Rate: l.GetColdRate(), Overage: overage, Slack: slack,
-		CanAsk: r.cold.Decode != nil && r.cold.path != ""}
+	c := &r.cold.limits
+	c.Time, c.Rate, c.CanAsk = time.Duration(l.GetColdUs())*time.Microsecond, l.GetColdRate(), r.cold.Decode != nil && r.cold.path != ""
 	r.cold.state.SetLimits(r.cold.limits)
 }
 
--- a/jaypitch.go
+++ b/jaypitch.go
@@ -37,6 +37,8 @@
 //   - picker: chooses the server of an attempt; it ejects hosts that fail
 //   - retry budget: bound on retries in proportion to requests
 //   - probe: a health or liveness check; unresponsive: no reply to requests or probes for a while ("silent" in reports)
+//   - cold: of a server, bearing few requests after a start under traffic; warm otherwise
+//   - evacuated: of a data centre, whose servers get no requests until the operators take that back
 //   - draining, stopping: a server that takes no new requests and finishes the rest; a proxy in the same state
 //
 // Configuration:
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -129,6 +129,9 @@
 	// avoidDuration is how long a server gets no requests after its sidecar reported that it is stopping, isn't beside that server, or is in an
 	// evacuated data centre.
 	avoidDuration = 700 * time.Millisecond
+	// avoidUnconfirmed is how long a server gets no requests after its sidecar reported that it has no confirmed state. It gets that from the store or
+	// another sidecar within some round trips.
+	avoidUnconfirmed = 150 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time for which a server that refused a rule's request as overloaded gets no more of
 	// the rule's requests. Finish multiplies the bounded time by a random factor from 0.5 to 1.5.
 	minRetryAfter = 10 * time.Millisecond
@@ -400,6 +403,9 @@
 	if r.LoadReport.Stopping || r.Code == jaypitch.CodeMisdirected || r.Code == jaypitch.CodeNotThisHost || r.Code == jaypitch.CodeStopping || r.Code == jaypitch.CodeEvacuated {
 		e.avoidUntil = now.Add(avoidDuration)
 	}
+	if r.Code == jaypitch.CodeUnconfirmed {
+		e.avoidUntil = now.Add(avoidUnconfirmed)
+	}
 	e.updateNetworkTime(r.NetworkTime)
 	if longest := longestRetryAfter(r.Code); longest > 0 {
 		span := min(max(r.RetryAfter, minRetryAfter), longest)
