--- a/cmd/jaypitchd/cold_test.go
+++ b/cmd/jaypitchd/cold_test.go
@@ -34,13 +34,18 @@
 	}
 }
 
-// TestServersRestartUnderLoad ends both servers of a mesh under load and starts them again, cold, with new IDs. It guards against sidecars that send
+// TestServersRestartUnderLoad ends both servers of a mesh under load, with or without their sidecars, and starts them again, cold, with new IDs. It guards against sidecars that send
 // a cold server more than it bears, and against ones that go on pacing it when it is warm. The bound leaves room for a slow machine: the pace is 14 in
 // a second.
 func TestServersRestartUnderLoad(t *testing.T) {
+	t.Run("servers", func(t *testing.T) { testRestartUnderLoad(t, 22, false) })
+	t.Run("hosts", func(t *testing.T) { testRestartUnderLoad(t, 23, true) })
+}
+
+func testRestartUnderLoad(t *testing.T, network int, sidecarsToo bool) {
 	is := is.New(t)
 	const allowed, cold, slots = 26, 2 * time.Second, 8
-	m := newMesh(t, 22, slots, 10*time.Millisecond, "[bounds]\ncold_overage = 1.5\ncold_slack = 8\n")
+	m := newMesh(t, network, slots, 10*time.Millisecond, "[bounds]\ncold_overage = 1.5\ncold_slack = 8\n")
 	for i := range m.Hosts {
 		m.Hosts[i].Server.ServeHealth("/health", 0)
 		m.RegisterServerIn(i, slots, "east")
@@ -62,18 +67,23 @@
 		return true
 	}
 	eventually(t, "both servers get more than a cold one bears", busy)
-	for _, h := range m.Hosts {
+	for i, h := range m.Hosts {
 		h.Server.Crash()
+		if sidecarsToo {
+			is.NoErr(m.Kill(i))
+		}
 	}
-	time.Sleep(100 * time.Millisecond)
 	started := time.Now()
 	for i := range m.Hosts {
 		is.NoErr(m.RestartServer(i, slots, 20*time.Millisecond))
 		m.Hosts[i].Server.ServeHealth("/health", cold)
 		m.RegisterServerIn(i, slots, "east")
+		if sidecarsToo {
+			is.NoErr(m.StartSidecar(i))
+		}
 	}
 	eventually(t, "both servers serve again", func() bool { return m.AllRespond("callers", "/one/a", http.StatusOK) })
-	time.Sleep(time.Until(started.Add(cold)))
+	eventually(t, "the servers are warm", func() bool { return time.Since(started) > cold })
 	for _, h := range m.Hosts {
 		is.True(h.Server.MostInSecond(started, started.Add(cold)) <= allowed)
 		h.Server.ServeHealth("/health", 0)
--- a/scenario/mesh.go
+++ b/scenario/mesh.go
@@ -109,12 +109,21 @@
 		text += fmt.Sprintf("%s = %s:%d\n", name, h.IP, m.ports[name])
 	}
 	text += fmt.Sprintf("[store]\naddress = %s\n%s", m.storeAddress, m.Settings)
-	file := filepath.Join(m.dir, fmt.Sprintf("sidecar_%d.ini", i))
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(m.settingsFile(i), []byte(text), 0o600); err != nil {
 		return fmt.Errorf("writing the settings of a sidecar: %w", err)
 	}
+	return m.StartSidecar(i)
+}
+
+func (m *Mesh) settingsFile(i int) string {
+	return filepath.Join(m.dir, fmt.Sprintf("sidecar_%d.ini", i))
+}
+
+// StartSidecar starts the sidecar of a host, again after it has ended.
+func (m *Mesh) StartSidecar(i int) error {
+	h := m.Hosts[i]
 	h.process = exec.Command(m.sidecarProgram)
-	h.process.Env = append(os.Environ(), settingsEnv+"="+file)
+	h.process.Env = append(os.Environ(), settingsEnv+"="+m.settingsFile(i))
 	h.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	h.process.Stdout = &h.output
 	if err := h.process.Start(); err != nil {
