--- a/scenario/mesh.go
+++ b/scenario/mesh.go
@@ -23,6 +23,8 @@
 	Hosts []*MeshHost
 	// SidecarSettings are additional lines for section [sidecar] of the hosts that are added from now on.
 	SidecarSettings string
+	// Settings follows the other settings of hosts that are added later.
+	Settings string
 
 	sidecarProgram string
 	dir            string
@@ -108,13 +110,22 @@
 	for _, name := range []string{"callers", "peers", "ready", "metrics"} {
 		text += fmt.Sprintf("%s = %s:%d\n", name, h.IP, m.ports[name])
 	}
-	text += fmt.Sprintf("[store]\naddress = %s\n", m.storeAddress)
-	file := filepath.Join(m.dir, fmt.Sprintf("sidecar_%d.ini", i))
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	text += fmt.Sprintf("[store]\naddress = %s\n%s", m.storeAddress, m.Settings)
+	if err := os.WriteFile(m.settingsFile(i), []byte(text), 0o600); err != nil {
 		return fmt.Errorf("writing the settings of a sidecar: %w", err)
 	}
+	return m.StartSidecar(i)
+}
+
+func (m *Mesh) settingsFile(i int) string {
+	return filepath.Join(m.dir, fmt.Sprintf("sidecar_%d.ini", i))
+}
+
+// StartSidecar starts the sidecar of a host, again after it has ended.
+func (m *Mesh) StartSidecar(i int) error {
+	h := m.Hosts[i]
 	h.process = exec.Command(m.sidecarProgram)
-	h.process.Env = append(os.Environ(), settingsEnv+"="+file)
+	h.process.Env = append(os.Environ(), settingsEnv+"="+m.settingsFile(i))
 	h.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	h.process.Stdout = &h.output
 	if err := h.process.Start(); err != nil {
