--- a/mesh_request.go
+++ b/mesh_request.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// minStreamedBytes is the shortest response of a download that is streamed.
+const minStreamedBytes = 16 << 10
+
 // MeshRequest is a request that the sender's sidecar forwards to the sidecar beside the chosen backend server.
 type MeshRequest struct {
 	ID     string
@@ -54,9 +57,6 @@
 	RateLimit    float64
 }
 
-// minStreamedBytes is the shortest response of a download that is streamed.
-const minStreamedBytes = 16 << 10
-
 // StreamsResponse reports whether the response of a backend server, with a status and a length in bytes, is passed on as it arrives. Short ones
 // and errors are buffered, so that the sender may retry. A length below zero is unknown.
 func (f *MeshRequest) StreamsResponse(status int, length int64) bool {
