Streams own their contexts until they are closed or end

Responses of 256 KiB and more were truncated. Dispatcher.Do and attempt ended their contexts as they returned, and http1 aborts a connection when its context ends, while the handler copies the stream afterwards.

MeshResponse.ReleaseAfterStream runs a function when the stream is closed, ends or fails, and at once without a stream. The dispatcher's contexts, the receiver's slot and the evidence count use it. A hedge no longer cancels a first attempt that has its response: a stream needs the context. StreamUntil bounds the writes of a stream (deadline plus grace), so that a client that doesn't read can't hold a slot.

--- a/hop/server.go
+++ b/hop/server.go
@@ -132,10 +132,5 @@
 		return err
 	}
 	defer r.Stream.Close()
-	w.WriteHeader(status)
-	if _, err := w.Write(r.Body); err != nil {
-		return err
-	}
-	_, err := io.Copy(w, r.Stream)
-	return err
+	return writeStream(w, status, r)
 }
--- /dev/null
+++ b/hop/stream.go
@@ -0,0 +1,28 @@
+package hop
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jaypitch/jaypitch"
+)
+
+// writeStream writes a response with a stream. Without a limit of time, a client that doesn't read would hold the server's slot and the bytes in
+// flight for as long as it likes, so writes fail from StreamUntil on. An error means that the response is truncated.
+func writeStream(w http.ResponseWriter, status int, r *jaypitch.MeshResponse) error {
+	c := http.NewResponseController(w)
+	limited := !r.StreamUntil.IsZero() && c.SetWriteDeadline(r.StreamUntil) == nil
+	w.WriteHeader(status)
+	if _, err := w.Write(r.Body); err != nil {
+		return err
+	}
+	if _, err := io.Copy(w, r.Stream); err != nil || !limited {
+		return err
+	}
+	// The connection is used again, so the rest of this response is sent before the limit ends.
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(time.Time{})
+}
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -51,12 +51,6 @@
 // Option configures a Receiver.
 type Option func(*Receiver)
 
-// stream is the rest of a response body that is too long to buffer. The request holds its slot until the stream is closed.
-type stream struct {
-	io.ReadCloser
-	release func()
-}
-
 const (
 	// maxBufferedBody is the size in bytes of the longest response body of known length that is buffered. A body of unknown length is
 	// streamed from this size.
@@ -242,7 +236,7 @@
 	}
 }
 
-// send sends the request to the server. The request holds its slot until the response is read completely or its stream is closed.
+// send sends the request to the server. The request holds its slot until the response is read completely or its stream ends or is closed.
 // Server is the server's entry from before the request was sent; nil if it wasn't listed.
 func (r *Receiver) send(ctx context.Context, f *jaypitch.MeshRequest, w *admit.SlotRequest, server *schema.MeshServer) *jaypitch.MeshResponse {
 	started := r.now()
@@ -262,10 +256,12 @@
 		if err != nil {
 			response = jaypitch.ExecutionUnknownResponse(jaypitch.CodeSpoiled, "the response was truncated: %s", err)
 		} else if more {
-			response.Stream = &stream{ReadCloser: a.Body, release: func() {
+			response.Stream = a.Body
+			response.LimitStream(f.Deadline.Add(deadlineGrace))
+			response.ReleaseAfterStream(func() {
 				cancel()
 				r.releaseSlot(w, 0)
-			}}
+			})
 			return response
 		}
 	}
@@ -455,13 +451,6 @@
 	return report
 }
 
-// Close closes the stream and releases the slot.
-func (s *stream) Close() error {
-	err := s.ReadCloser.Close()
-	s.release()
-	return err
-}
-
 // readBody reads a response's body, or the first maxBufferedBody bytes of it. More is true if the rest may follow.
 func readBody(a *http.Response) (body []byte, more bool, err error) {
 	if a.ContentLength > 0 && a.ContentLength <= maxBufferedBody {
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -71,8 +71,10 @@
 	Header http.Header
 	Body   []byte
 	// Stream follows Body in a long response; nil otherwise. Its Read fails if the response is truncated.
-	Stream     Stream
-	LoadReport MeshLoadReport
+	Stream Stream
+	// StreamUntil is the time at which the stream ends at the latest. A client that reads too slowly must not hold it longer.
+	StreamUntil time.Time
+	LoadReport  MeshLoadReport
 	// ServiceTime is the time that the server took for the request.
 	ServiceTime time.Duration
 	// NetworkTime is the part of the attempt's duration, measured by the sender, in which the request was neither queued nor at the server.
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -103,11 +103,10 @@
 	d.picker.Prune(t)
 }
 
-// Do makes the attempts of a request and returns the response for the client. The attempts are canceled
+// Do makes the attempts of a request and returns the response for the client. The attempts and the response's stream are canceled
 // responseGrace after the deadline.
 func (d *Dispatcher) Do(ctx context.Context, f *jaypitch.MeshRequest, rule *mesh.Rule, service string) *jaypitch.MeshResponse {
 	ctx, cancel := context.WithTimeout(ctx, f.Deadline.Sub(d.now())+responseGrace)
-	defer cancel()
 	a := &attempts{rule: rule, service: service}
 	d.recordRequest(service)
 	for a.sent < attemptLimit {
@@ -122,7 +121,10 @@
 			break
 		}
 	}
-	return a.result()
+	r := a.result()
+	r.LimitStream(f.Deadline.Add(responseGrace))
+	r.ReleaseAfterStream(cancel)
+	return r
 }
 
 // requestFor returns a copy of the request for the sidecar beside the chosen server.
@@ -188,10 +190,10 @@
 		return r
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	u := &hedgeable{ctx: ctx, cancel: cancel, attempts: a, request: f}
 	d.register(v.GetId(), u)
 	r := d.send(attemptCtx, f, v)
+	r.ReleaseAfterStream(func() { cancel(nil) })
 	second := d.unregister(v.GetId(), u)
 	if !superseded(attemptCtx) {
 		d.finish(v, a.rule, r)
@@ -200,7 +202,7 @@
 	}
 	a.sent++
 	d.record(f, r, a.sent)
-	return second.selectResponse(a, r)
+	return second.selectResponse(attemptCtx, a, r)
 }
 
 // send forwards a request to the sidecar beside a server, or to the local receiver.
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -109,11 +109,11 @@
 }
 
 // respond matches the request to a rule, dispatches it and returns the response. It fills in rec.
-func (h *Handler) respond(r *http.Request, local LocalState, arrived time.Time, rec *Record) *jaypitch.MeshResponse {
+func (h *Handler) respond(r *http.Request, local LocalState, arrived time.Time, rec *Record) (response *jaypitch.MeshResponse) {
 	t := h.replica.Table()
 	rec.Version = t.Version
 	if t.Version == 0 || local.Unconfirmed {
-		response := jaypitch.NotExecutedResponse(jaypitch.CodeNoSettings, "the sidecar has no confirmed configuration")
+		response = jaypitch.NotExecutedResponse(jaypitch.CodeNoSettings, "the sidecar has no confirmed configuration")
 		response.RetryAfter = jitterRetryAfter(noSettingsRetryAfter)
 		return response
 	}
@@ -121,7 +121,8 @@
 	if rule == nil {
 		return jaypitch.NotExecutedResponse(jaypitch.CodeNoRoute, "no rule of version %d matches host %q and path %q", t.Version, r.Host, r.URL.Path)
 	}
-	defer done()
+	// Evidence counts the request as in progress until its stream has ended.
+	defer func() { response.ReleaseAfterStream(done) }()
 	rec.Rule, rec.Rank, rec.Target = rule.GetName(), rule.GetRank(), rule.LatencyTarget()
 	if e := checkHead(r, t.Limits.GetHeaderBytes()); e != nil {
 		return jaypitch.NotExecutedResponse(e.Code, "%s", e.Reason)
--- a/outbound/hedge.go
+++ b/outbound/hedge.go
@@ -17,6 +17,8 @@
 	request  *jaypitch.MeshRequest
 	// hedge is the second attempt; nil if none was started.
 	hedge *hedge
+	// ended is true once the attempt has a response. It is canceled no more.
+	ended bool
 }
 
 // hedge is a second attempt beside one whose sidecar is unresponsive. The first continues, since its server may be executing the request.
@@ -44,6 +46,7 @@
 func (d *Dispatcher) unregister(id string, u *hedgeable) *hedge {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	u.ended = true
 	delete(d.hedgeable[id], u)
 	if len(d.hedgeable[id]) == 0 {
 		delete(d.hedgeable, id)
@@ -80,17 +83,27 @@
 	d.finish(pick.Server, h.attempts.rule, h.response)
 	d.record(out, h.response, h.attempts.sent+1)
 	if succeeded(h.response) {
-		h.first.cancel(jaypitch.ErrSuperseded)
+		d.supersede(h.first)
+	}
+}
+
+// supersede cancels a first attempt in favour of its hedge, unless it has ended: its response may be in use, and its stream needs the context.
+func (d *Dispatcher) supersede(u *hedgeable) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !u.ended {
+		u.cancel(jaypitch.ErrSuperseded)
 	}
 }
 
 // selectResponse waits for the hedge and returns the better of its response and that of the first attempt. A successful response of the
-// first attempt cancels the hedge. The hedge may be nil.
-func (h *hedge) selectResponse(a *attempts, first *jaypitch.MeshResponse) *jaypitch.MeshResponse {
+// first attempt cancels the hedge, unless the hedge canceled the first attempt before: that may have broken the response's stream. The hedge may
+// be nil.
+func (h *hedge) selectResponse(ctx context.Context, a *attempts, first *jaypitch.MeshResponse) *jaypitch.MeshResponse {
 	if h == nil {
 		return first
 	}
-	if succeeded(first) {
+	if succeeded(first) && !superseded(ctx) {
 		h.cancel()
 		<-h.done
 		h.response.Discard()
--- a/outbound/limits.go
+++ b/outbound/limits.go
@@ -57,15 +57,27 @@
 // resetOnClose makes the close of a request's connection a reset, so that a client of HTTP/1.0 doesn't take the end of a truncated response, which has
 // no length, for its regular end.
 func resetOnClose(ctx context.Context) {
-	c, ok := ctx.Value(connKey{}).(*limitedConn)
-	if !ok {
-		return
+	if c, ok := ctx.Value(connKey{}).(*limitedConn); ok {
+		c.resetOnClose()
 	}
+}
+
+func (c *limitedConn) resetOnClose() {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		_ = t.SetLinger(0) // fails only if the connection is closed already
 	}
 }
 
+// Write makes the close of the connection a reset if it fails. The HTTP server closes the connection right after a failed write, before the handler
+// learns of it, and a client of HTTP/1.0 would take a regular end for that of the response.
+func (c *limitedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.resetOnClose()
+	}
+	return n, err
+}
+
 // NewListener returns a listener for NewServer, whose time limits follow the replica's configuration.
 func NewListener(l net.Listener, replica *mesh.Replica, now func() time.Time) *Listener {
 	return &Listener{Listener: l, replica: replica, now: now}
