--- a/standin/store.go
+++ b/standin/store.go
@@ -93,7 +93,7 @@
 
 // PutServer writes a server's entry.
 func (s *Store) PutServer(id, address, service, state string, slots int) int64 {
-	return s.putJSON("servers/"+id, map[string]any{"address": address, "info": map[string]any{"service": service, "zone": "z", "slots": slots},
+	return s.putJSON("servers/"+id, map[string]any{"address": address, "info": map[string]any{"service": service, "version": "v1", "zone": "z", "slots": slots},
 		"status": map[string]any{"state": state, "seq": 1, "coldRemainingS": 0}})
 }
 
