A server's own answer decides which of several entries at an address counts

Any entry with a newer revision hid a server at its address, whatever the server said: a 421 that named the server changed nothing. Now the receiver records which server executed a request, or which one a 421 names, reports it in the notice pair answering, and every sender that gets the report uses that server's entry alone. The fact ends with another answer, or when an entry of the address is added or changed in more than its revision. Without an answer the newest entry of each service counts that isn't draining. It is kept only for addresses that several entries name. Metrics: addresses_contested, addresses_answered; log line: server answers at a contested address.

Ruled out: refusing requests for the other entry at the receiver without asking the server, since an outdated fact would then keep a new server out of use for senders of older builds; a health check on each conflict, since requests show it as soon.

--- a/hop/notice.go
+++ b/hop/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,8 @@
 	noticeWait = "wait"
 	// noticeLeaving is, in a response, 1 if the server stated that it is leaving.
 	noticeLeaving = "leaving"
+	// noticeAnswering is, in a response, the escaped ID of the server that answers at an address which several entries of the store name.
+	noticeAnswering = "answering"
 	// noticeCode is, in a response, a result code that older sidecars don't know. They get the code in headerResponse.
 	noticeCode = "code"
 )
@@ -57,6 +60,9 @@
 	if r.LoadReport.Leaving {
 		pairs = append(pairs, pair(noticeLeaving, formatBool(true)))
 	}
+	if r.LoadReport.Answering != "" {
+		pairs = append(pairs, pair(noticeAnswering, url.QueryEscape(r.LoadReport.Answering)))
+	}
 	if olderCode(r.Code) != r.Code {
 		pairs = append(pairs, pair(noticeCode, formatInt(int64(r.Code))))
 	}
@@ -73,6 +79,9 @@
 		r.LoadReport.Limited, r.LoadReport.RateLimit, r.LoadReport.LimitWait = true, limit, microseconds(wait)
 	}
 	r.LoadReport.Leaving = p[noticeLeaving] == formatBool(true)
+	if id, err := url.QueryUnescape(p[noticeAnswering]); err == nil {
+		r.LoadReport.Answering = id
+	}
 	if code, err := strconv.Atoi(p[noticeCode]); err == nil && olderCodes[jaypitch.Code(code)] == r.Code {
 		r.Code = jaypitch.Code(code)
 	}
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -46,6 +46,7 @@
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 	recordNotice func(serverID string, n jaypitch.ServerNotice)
 	refuseNotice func(serverID string, e *jaypitch.Error)
+	recordAnswer func(mesh.Answer)
 }
 
 // Option configures a Receiver.
@@ -74,6 +75,7 @@
 	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, queueTime time.Duration), options ...Option) *Receiver {
 	r := &Receiver{address: address, names: names, replica: replica, sourceAge: sourceAge, pool: pool, now: now, record: record,
 		slots: admit.NewSlots(defaultSlots, rand.Float64), random: rand.Float64, failing: map[string]float64{}}
+	r.recordAnswer = func(a mesh.Answer) { replica.RecordAnswer(a, now()) }
 	for _, o := range options {
 		o(r)
 	}
@@ -218,7 +220,9 @@
 	case v != nil && v.GetDraining():
 		return jaypitch.Errorf(jaypitch.CodeStopping, "server %q is draining", f.ServerID)
 	}
-	r.updateServer(f.ServerID, v)
+	if id := t.Answering(r.address); id == "" || id == f.ServerID {
+		r.updateServer(f.ServerID, v)
+	}
 	return nil
 }
 
@@ -249,6 +253,7 @@
 		return response
 	}
 	response := r.classify(f, a)
+	r.observeAnswer(f, a.Header, response)
 	r.observeNotice(f, a.Header, response, server)
 	if response.Execution == jaypitch.Executed {
 		body, more, err := readBody(a)
@@ -444,7 +449,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
-		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
+		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Stopping: r.stopping, Leaving: leaving, Answering: r.replica.Table().Answering(r.address), Revision: position.Revision, Era: position.Era, SourceAge: age}
 	if r.notice.Limited {
 		report.Limited, report.RateLimit, report.LimitWait = true, r.notice.RateLimit, r.slots.LimitWait(r.now())
 	}
--- a/logline/kind.go
+++ b/logline/kind.go
@@ -31,6 +31,7 @@
 	{"server", []string{"server", "service", "address", "draining", "gone", "revision", "from"}, "the recorded state of a backend server changed"},
 	{"server notice", []string{"server", "limited", "limit", "leaving"}, "the backend server on this host states something else about itself than before: its limit in requests per second, or that it is leaving"},
 	{"server notice refused", []string{"server", "code", "reason"}, "what the backend server states about itself can't be decoded"},
+	{"server answers at a contested address", []string{"address", "expected", "server"}, "entries of several servers name an address, and a response shows which of them is there; server is empty if none of them is"},
 	{"sidecar taken for dead", []string{"server", "address", "error"}, "the sidecar beside a server is unresponsive and did not respond to a probe"},
 	{"sidecar gives no answer", []string{"peer", "error"}, "a sidecar did not respond to a request for its configuration"},
 	{"difference refused", []string{"peer", "code", "reason"}, "a difference from another sidecar does not apply to the configuration version on this sidecar"},
--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -26,6 +26,8 @@
 	// rules is built from config.
 	rules   ruleIndex
 	servers map[string]*serverEntry
+	// answering holds the IDs of the servers that answered at addresses of several entries, by address.
+	answering map[string]string
 	// removalsKnownAfter is the lowest revision after which all removals are known. A request for changes since an earlier one gets
 	// the full state.
 	removalsKnownAfter int64
@@ -82,8 +84,8 @@
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	s := &Replica{servers: map[string]*serverEntry{}}
-	s.table.Store(newTable(nil, nil, nil))
+	s := &Replica{servers: map[string]*serverEntry{}, answering: map[string]string{}}
+	s.table.Store(newTable(nil, nil, nil, nil))
 	s.published.Store(&jaypitch.Position{})
 	return s
 }
@@ -149,6 +151,7 @@
 	published := s.position
 	s.published.Store(&published)
 	if c.Config || len(c.Servers) > 0 {
+		s.endAnswers(c.Servers)
 		s.rebuild(now)
 	}
 	return c
@@ -408,7 +411,7 @@
 			}
 		}
 	}
-	t := newTable(s.config, s.rules, usable)
+	t := newTable(s.config, s.rules, usable, s.answering)
 	t.leaving = leaving
 	s.table.Store(t)
 }
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -26,9 +26,11 @@
 	// named holds the services that the configuration names; nil without a configuration.
 	named map[string]bool
 	// leaving holds the IDs of the servers that stated that they are leaving.
-	leaving   map[string]bool
+	leaving map[string]bool
+	// contested holds the addresses that several servers in use share, and answering the ID of the server that answers there, if that is known.
+	contested map[string]bool
+	answering map[string]string
 	rules     ruleIndex
-	byAddress map[string]*schema.MeshServer
 	hostCount int
 }
 
@@ -42,28 +44,26 @@
 	cumulativeWeights []int64
 }
 
-// Service is a service with its servers that may get new requests, in order of ID: not draining, and the newest at their address.
+// Service is a service with its servers that may get new requests, in order of ID; see candidates.
 type Service struct {
 	Name    string
 	Servers []*schema.MeshServer
 }
 
-func newTable(c *schema.MeshConfig, rules ruleIndex, servers []*schema.MeshServer) *Table {
+// newTable returns the table of a configuration and the servers in use. Answering holds the IDs of the servers that answer, by address.
+func newTable(c *schema.MeshConfig, rules ruleIndex, servers []*schema.MeshServer, answering map[string]string) *Table {
 	t := &Table{Version: c.GetVersion(), Limits: c.GetLimits(), Services: map[string]*Service{}, Servers: make(map[string]*schema.MeshServer, len(servers)),
-		rules: rules, byAddress: make(map[string]*schema.MeshServer, len(servers))}
+		rules: rules}
 	t.nameServices(c)
-	slices.SortFunc(servers, t.compareAtAddress)
 	hosts := map[netip.Addr]bool{}
 	for _, v := range servers {
 		t.Servers[v.GetId()] = v
-		// The last in this order replaces the others at an address: addresses are reused.
-		t.byAddress[v.GetAddress()] = v
 		if a, err := netip.ParseAddrPort(v.GetAddress()); err == nil {
 			hosts[a.Addr()] = true
 		}
 	}
 	t.hostCount = len(hosts)
-	t.addServices(servers)
+	t.addServices(t.candidates(servers, answering))
 	return t
 }
 
@@ -82,18 +82,6 @@
 	}
 }
 
-// compareAtAddress orders servers by how much their entries count at an address: those of services that the configuration names after the others,
-// which another writer may have made, and newer ones after older ones.
-func (t *Table) compareAtAddress(a, b *schema.MeshServer) int {
-	if named := t.Names(a.GetService()); named != t.Names(b.GetService()) {
-		if named {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Or(cmp.Compare(a.GetRevision(), b.GetRevision()), cmp.Compare(a.GetId(), b.GetId()))
-}
-
 // Names reports whether the configuration names a service. Without a configuration it reports true.
 func (t *Table) Names(service string) bool {
 	return t.named == nil || t.named[service]
@@ -117,9 +105,6 @@
 
 func (t *Table) addServices(servers []*schema.MeshServer) {
 	for _, v := range servers {
-		if v.GetDraining() || t.byAddress[v.GetAddress()] != v {
-			continue
-		}
 		s := t.Services[v.GetService()]
 		if s == nil {
 			s = &Service{Name: v.GetService()}
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -113,6 +113,8 @@
 	Stopping bool
 	// Leaving is true if the server stated in a response that it is leaving.
 	Leaving bool
+	// Answering is the ID of the server that answers at the receiver's address, if several entries of the store name that; empty otherwise.
+	Answering string
 	// Limited is true if the server names a rate limit, RateLimit, in requests per second from all hosts together. LimitWait is the time
 	// until the limit has room for a further request. Both are set only if Limited.
 	Limited   bool
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -31,6 +31,7 @@
 	record       func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int)
 	// decodeNotice returns what a server states about itself; nil if the platform's servers state nothing.
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
+	recordAnswer func(mesh.Answer)
 
 	mu     sync.Mutex
 	picker *route.MeshPicker
@@ -85,6 +86,7 @@
 	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int), options ...Option) *Dispatcher {
 	d := &Dispatcher{localAddress: localAddress, peerAddress: peerAddress, replica: replica, forwarder: forwarder, local: local,
 		picker: picker, budget: budget, now: now, record: record, hedgeable: map[string]map[*hedgeable]bool{}}
+	d.recordAnswer = func(a mesh.Answer) { replica.RecordAnswer(a, now()) }
 	for _, o := range options {
 		o(d)
 	}
@@ -214,6 +216,7 @@
 	if r.LoadReport.Leaving || d.statesLeaving(r) {
 		d.replica.RecordLeaving(v, d.now())
 	}
+	d.observeAnswer(v, r)
 	return r
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -70,6 +70,8 @@
 		}
 		return 0
 	})
+	gauge("addresses_contested", "Addresses that the entries of several servers name.", func() float64 { n, _ := c.replica.Table().Contested(); return float64(n) })
+	gauge("addresses_answered", "Contested addresses at which a server has shown by its answer that it is there; the other entries are out of use.", func() float64 { _, n := c.replica.Table().Contested(); return float64(n) })
 	gauge("lines_dropped", "Log lines dropped because the output was too slow or failed.", func() float64 { return float64(dropped()) })
 	return m
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -116,7 +116,7 @@
 	// Receivers identify this sidecar by the local address, to poll it for newer revisions.
 	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()))
 	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.HeaderNames, c.replica, c.confirmation.age, c.backendPool, c.now, c.recordReceived,
-		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice))
+		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice), inbound.WithAnswers(c.recordAnswer))
 	control := http.NewServeMux()
 	control.Handle(meshpeer.NewHandler(c.replica, c.confirmation.age, c.find, c.burnCounts, c.recordSender))
 	control.HandleFunc("GET "+hop.ProbePath, func(http.ResponseWriter, *http.Request) {})
@@ -125,7 +125,7 @@
 	retryBudget := route.NewMeshRetryBudget(ratio, s.GetBounds().GetRetrySlack(), micros(s.GetBounds().GetRetryWindowUs()))
 	c.hopClient = hop.NewClient(c.peerPool, c.now)
 	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
-		outbound.WithNotices(p.DecodeNotice))
+		outbound.WithNotices(p.DecodeNotice), outbound.WithAnswers(c.recordAnswer))
 	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, s.GetSidecar().GetMemoryMb()*megabyte/bodyMemoryDivisor, c.tracker, c.now, c.recordRequest)
 	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, seeded: c.seeded, starting: c.starting, readsAllPages: c.readsAllPages, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
