Settings are in force at once after SIGHUP and before the next request

Calls carried the name of the host's former service for up to a second: the file was read once a second and SIGHUP was ignored. SIGHUP reads it now, and each request looks at the file (size, time of modification, file ID), at most once a millisecond, and reads it if it looks changed. The read once a second stays for a change that leaves all three as they were. An invalid file isn't read again before each request.

--- a/cmd/jaypitchd/main.go
+++ b/cmd/jaypitchd/main.go
@@ -28,6 +28,14 @@
 type settingsFile struct {
 	path     string
 	lastText []byte
+	// lastInfo describes the file as it was just before the last read; nil before the first.
+	lastInfo os.FileInfo
+}
+
+// hangups reloads the settings at each signal.
+type hangups struct {
+	signals <-chan os.Signal
+	reload  func()
 }
 
 const (
@@ -52,8 +60,9 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	// SIGHUP, the usual signal to reload settings, must not end the process. It triggers nothing, since the file is checked every second.
-	signal.Ignore(syscall.SIGHUP)
+	// One pending signal is enough: it makes the file be read after all signals before.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	file := &settingsFile{path: os.Getenv(settingsEnv)}
 	s, err := file.read()
 	if err != nil {
@@ -68,10 +77,12 @@
 	if err != nil {
 		return err
 	}
-	c, err := sidecar.New(s, file.read, sidecar.Platform{HeaderNames: platform.HeaderNames, ReadyPath: platform.ReadyPath, NewSource: newSource, DecodeNotice: platform.DecodeNotice}, log, logWriter.Dropped)
+	c, err := sidecar.New(s, file.read, sidecar.Platform{HeaderNames: platform.HeaderNames, ReadyPath: platform.ReadyPath, NewSource: newSource, DecodeNotice: platform.DecodeNotice}, log, logWriter.Dropped,
+		sidecar.WithSettingsCheck(file.changed))
 	if err != nil {
 		return err
 	}
+	go (&hangups{signals: hup, reload: c.Reload}).run(ctx)
 	err = c.Run(ctx)
 	_ = log.Sync() // lines that are still not read after the writer's timeout are dropped
 	return err
@@ -83,6 +94,8 @@
 
 // read returns the settings, or nil if the text of the file is the same as at the last successful read.
 func (s *settingsFile) read() (*schema.SidecarSettings, error) {
+	// A change during the read makes the file look changed afterwards.
+	s.lastInfo, _ = os.Stat(s.path)
 	text, err := os.ReadFile(s.path)
 	if err != nil {
 		return nil, jaypitch.Errorf(jaypitch.CodeUnreadable, "reading settings file %q (environment variable %s): %s", s.path, settingsEnv, err)
@@ -98,6 +111,27 @@
 	return parsed, nil
 }
 
+// changed reports whether the file is another one than at the last read, or has another size or time of modification.
+func (s *settingsFile) changed() bool {
+	now, err := os.Stat(s.path)
+	if err != nil {
+		return false // the file is being replaced, or the next read reports the error
+	}
+	last := s.lastInfo
+	return last == nil || !os.SameFile(last, now) || last.Size() != now.Size() || !last.ModTime().Equal(now.ModTime())
+}
+
+func (h *hangups) run(ctx context.Context) {
+	for {
+		select {
+		case <-h.signals:
+			h.reload()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func newLogger(out zapcore.WriteSyncer, level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
--- a/cmd/jaypitchd/main_test.go
+++ b/cmd/jaypitchd/main_test.go
@@ -4,7 +4,9 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -38,6 +40,30 @@
 			is.True(strings.Contains(err.Error(), "20"))
 		})
 	}
+	t.Run("a change shows without reading the file", func(t *testing.T) {
+		is := is.New(t)
+		write(validSettings)
+		in := &settingsFile{path: file}
+		is.True(in.changed())
+		_, err := in.read()
+		is.NoErr(err)
+		is.True(!in.changed())
+		other := file + ".new"
+		is.NoErr(os.WriteFile(other, []byte(strings.Replace(validSettings, "service = s", "service = t", 1)), 0o600))
+		is.NoErr(os.Chtimes(other, time.Time{}, in.lastInfo.ModTime()))
+		is.NoErr(os.Rename(other, file))
+		is.True(in.changed())
+		_, err = in.read()
+		is.NoErr(err)
+		write(validSettings[:20])
+		is.True(in.changed())
+		_, err = in.read()
+		is.True(err != nil)
+		// An invalid file isn't read again before each request.
+		is.True(!in.changed())
+		is.NoErr(os.Remove(file))
+		is.True(!in.changed())
+	})
 	t.Run("an invalid file between two valid ones", func(t *testing.T) {
 		is := is.New(t)
 		write(validSettings)
@@ -57,3 +83,13 @@
 		is.Equal(s.GetSidecar().GetService(), "t")
 	})
 }
+
+// TestHangupReloads guards against a signal that changes nothing until the next poll of the file.
+func TestHangupReloads(t *testing.T) {
+	signals, reloaded := make(chan os.Signal, 1), make(chan bool)
+	go (&hangups{signals: signals, reload: func() { reloaded <- true }}).run(t.Context())
+	for range 2 {
+		signals <- syscall.SIGHUP
+		<-reloaded
+	}
+}
--- a/sidecar/loops.go
+++ b/sidecar/loops.go
@@ -17,9 +17,6 @@
 	ticks   int
 }
 
-// reloader polls the settings file and applies its changes, so that no signal is needed.
-type reloader struct{ sidecar *Sidecar }
-
 const (
 	tickInterval = 250 * time.Millisecond
 	// minPause is how late a tick has to be to count as a pause of the process. Ticks are less late than that even on a machine short of
@@ -28,8 +25,7 @@
 	// confirmTimeout is how long a process waits for a confirmation after a pause before it continues with its replica.
 	confirmTimeout = time.Second
 	// sweepTicks is the number of ticks between two sweeps of idle connections, and between two log lines about suppressed lines.
-	sweepTicks     = 4
-	reloadInterval = time.Second
+	sweepTicks = 4
 )
 
 func (t *ticker) run(ctx context.Context) {
@@ -76,26 +72,6 @@
 	}
 }
 
-func (r *reloader) run(ctx context.Context) {
-	c := r.sidecar
-	for ctx.Err() == nil {
-		_ = jaypitch.Sleep(ctx, reloadInterval)
-		s, err := c.loadSettings()
-		if err != nil {
-			if c.logBudget.Allow("reload", c.now()) {
-				c.log.Error("settings refused, the last good ones stay", zap.Error(err))
-			}
-			continue
-		}
-		old := c.settings.Load()
-		if s == nil || s.String() == old.String() {
-			continue
-		}
-		c.settings.Store(s)
-		c.log.Info("settings reloaded", zap.String("service", s.GetSidecar().GetService()), zap.String("service_before", old.GetSidecar().GetService()))
-	}
-}
-
 // sinceBoot returns the time since the machine started, including the time that it was suspended.
 func sinceBoot() time.Duration {
 	var t unix.Timespec
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -43,13 +43,13 @@
 
 // Sidecar is one process beside a backend server.
 type Sidecar struct {
-	settings     atomic.Pointer[schema.SidecarSettings]
-	loadSettings func() (*schema.SidecarSettings, error)
-	platform     Platform
-	log          *zap.Logger
-	logBudget    *logline.Budget
-	now          func() time.Time
-	process      uint64
+	settings  atomic.Pointer[schema.SidecarSettings]
+	reloader  *reloader
+	platform  Platform
+	log       *zap.Logger
+	logBudget *logline.Budget
+	now       func() time.Time
+	process   uint64
 
 	replica      *mesh.Replica
 	watcher      *watcher
@@ -95,11 +95,15 @@
 
 // New returns a sidecar with validated settings. load reads the settings again and returns nil if they are unchanged; dropped returns
 // the number of log lines that the writer dropped. New fails if the listen address for peers or the retry ratio can't be parsed.
-func New(s *schema.SidecarSettings, load func() (*schema.SidecarSettings, error), p Platform, log *zap.Logger, dropped func() int64) (*Sidecar, error) {
+func New(s *schema.SidecarSettings, load func() (*schema.SidecarSettings, error), p Platform, log *zap.Logger, dropped func() int64, options ...Option) (*Sidecar, error) {
 	log = log.With(zap.String("node", s.GetSidecar().GetHost()))
-	c := &Sidecar{loadSettings: load, platform: p, log: log, logBudget: logline.NewBudget(), now: time.Now, process: rand.Uint64(), replica: mesh.NewReplica(), tracker: evidence.NewTracker(),
+	c := &Sidecar{platform: p, log: log, logBudget: logline.NewBudget(), now: time.Now, process: rand.Uint64(), replica: mesh.NewReplica(), tracker: evidence.NewTracker(),
 		burnCounter: burnCounter{counter: burn.NewCounter()}}
 	c.settings.Store(s)
+	c.reloader = &reloader{sidecar: c, load: load}
+	for _, o := range options {
+		o(c)
+	}
 	c.metrics = newMetrics(c, dropped)
 	listen, err := netip.ParseAddrPort(s.GetListen().GetPeers())
 	if err != nil {
@@ -140,7 +144,7 @@
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	for _, l := range []interface{ run(context.Context) }{c.watcher, c.peerPoller, &ticker{sidecar: c}, &reloader{sidecar: c}, &prober{sidecar: c}} {
+	for _, l := range []interface{ run(context.Context) }{c.watcher, c.peerPoller, &ticker{sidecar: c}, c.reloader, &prober{sidecar: c}} {
 		c.wg.Add(1)
 		go (&task{wg: &c.wg, loop: l}).run(runCtx)
 	}
@@ -260,6 +264,7 @@
 
 // localState returns the state of this process that the handler needs for each request.
 func (c *Sidecar) localState() outbound.LocalState {
+	c.reloader.refresh()
 	o := outbound.LocalState{Service: c.settings.Load().GetSidecar().GetService(), Stopping: c.stopping.Load(), Unconfirmed: c.unconfirmedSince.Load() != nil || c.replica.Revision() == 0}
 	if at := c.endsAt.Load(); at != nil {
 		o.EndsAt = *at
