A code about a client is never adopted from another process; a stop answers what it aborts

A stopping receiver reported the requests that it aborted as those of a client that had left. The sender took that for its own client and closed the connection without a response. The sender translates such codes now: unknown, stopping if the request wasn't executed, and for a body that the receiver didn't get the new code 128 body_late (503), where the client's connection was closed too. So a deferred body that comes too late ends with a refusal.

Requests that are still in progress at the end of the grace time are aborted with ErrStopping, before the HTTP servers shut down instead of after, so that their responses are still written: 504, or 503 for queued ones. A queued request whose context ends as it gets its slot isn't sent.

--- a/code.go
+++ b/code.go
@@ -68,6 +68,7 @@
 	CodeHeadTooLarge   Code = 125
 	CodeFailing        Code = 126
 	CodeServerLimit    Code = 127
+	CodeBodyLate       Code = 128
 	CodeUnknown        Code = 150
 	CodeTokenExpired   Code = 151
 	CodeProcessGone    Code = 152
@@ -155,6 +156,7 @@
 		{CodeBudgetSpent, "budget_spent", NotExecuted, http.StatusServiceUnavailable, "no further attempt is allowed"},
 		{CodeFailing, "failing", NotExecuted, http.StatusServiceUnavailable, "many of the rule's latest requests failed at this backend server"},
 		{CodeServerLimit, "server_limit", NotExecuted, http.StatusServiceUnavailable, "the backend server named a limit of requests per second, which has no room for the request before its deadline"},
+		{CodeBodyLate, "body_late", NotExecuted, http.StatusServiceUnavailable, "the request body did not reach the receiving sidecar completely and in time"},
 		{CodeNoSettings, "no_settings", NotExecuted, http.StatusServiceUnavailable, "the sidecar has no configuration yet"},
 		{CodeHeadTooLarge, "head_too_large", NotExecuted, http.StatusRequestHeaderFieldsTooLarge, "the request line and header exceed the limit"},
 		{CodeUnknown, "unknown", ExecutionUnknown, http.StatusGatewayTimeout, "the connection ended or the deadline passed before the result was known"},
--- a/hop/client.go
+++ b/hop/client.go
@@ -97,12 +97,16 @@
 	switch {
 	case errors.As(err, &e) && !e.Sent && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return jaypitch.NotExecutedResponse(jaypitch.CodeDeadline, "the request could not be sent to the sidecar before the deadline")
+	case errors.As(err, &e) && !e.Sent && errors.Is(context.Cause(ctx), jaypitch.ErrStopping):
+		return jaypitch.NotExecutedResponse(jaypitch.CodeStopping, "the sidecar stopped before the request was sent")
 	case errors.As(err, &e) && !e.Sent && ctx.Err() != nil:
 		return jaypitch.NotExecutedResponse(jaypitch.CodeCallerGone, "the client closed the connection before the request was sent")
 	case errors.As(err, &e) && !e.Sent:
 		return jaypitch.NotExecutedResponse(jaypitch.CodeUnreachable, "no connection to the sidecar: %s", err)
 	case errors.Is(context.Cause(ctx), jaypitch.ErrSuperseded):
 		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeCallerGone, "%s", jaypitch.ErrSuperseded)
+	case errors.Is(context.Cause(ctx), jaypitch.ErrStopping):
+		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeUnknown, "the sidecar stopped before the response")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeAnswerTooLate, "the sidecar did not respond before the deadline")
 	case ctx.Err() != nil:
@@ -118,6 +122,7 @@
 		return nil, e
 	}
 	parseResponseNotice(a.Header.Get(headerNotice), r)
+	translateClientCode(r)
 	if r.Execution != jaypitch.Executed {
 		r.Reason = "the sidecar of the server answered " + r.Code.Info().Name
 	}
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -165,7 +165,7 @@
 	select {
 	case e = <-w.Decision:
 	case <-ctx.Done():
-		e = jaypitch.Errorf(jaypitch.CodeCallerGone, "the sender canceled the queued request")
+		e = queueCanceled(ctx)
 	case <-t.C:
 		e = jaypitch.Errorf(jaypitch.CodeDeadline, "the deadline passed while the request was queued")
 	}
@@ -173,7 +173,12 @@
 		r.abandon(w, false)
 		return refusal(e)
 	}
-	if e := r.checkServer(f); e != nil {
+	e = r.checkServer(f)
+	if e == nil && ctx.Err() != nil {
+		// The slot was granted at the same time.
+		e = queueCanceled(ctx)
+	}
+	if e != nil {
 		r.releaseSlot(w, 0)
 		return refusal(e)
 	}
@@ -300,6 +305,8 @@
 	switch {
 	case errors.As(err, &e) && !e.Sent:
 		return jaypitch.NotExecutedResponse(jaypitch.CodeUnreachable, "no connection to the backend server: %s", err)
+	case errors.Is(context.Cause(ctx), jaypitch.ErrStopping):
+		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeUnknown, "the sidecar stopped while the server processed the request")
 	case ctx.Err() == context.Canceled:
 		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeCallerGone, "the sender canceled the request while the server processed it")
 	case ctx.Err() != nil:
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -148,12 +148,14 @@
 		c.wg.Add(1)
 		go (&task{wg: &c.wg, loop: l}).run(runCtx)
 	}
-	servers := c.serve(runCtx, listeners)
+	requestCtx, abort := context.WithCancelCause(runCtx)
+	defer abort(nil)
+	servers := c.serve(requestCtx, listeners)
 	s := c.settings.Load()
 	c.log.Info("started", zap.String("host", s.GetSidecar().GetHost()), zap.String("service", s.GetSidecar().GetService()),
 		zap.Uint64("process", c.process), zap.String("callers", s.GetListen().GetCallers()), zap.String("backend", s.GetSidecar().GetBackend()))
 	<-ctx.Done()
-	c.stop(servers, listeners)
+	c.stop(servers, listeners, abort)
 	cancel()
 	c.wg.Wait()
 	c.log.Info("stopped", zap.Int64("requests_in_progress", c.handler.InProgress()))
@@ -162,7 +164,8 @@
 
 // stop drains the sidecar and closes the listeners. The receiver refuses new requests; clients are served until minDrainTime is over
 // and no request is in progress, or the grace time ends. A request that arrives later, on a connection that was accepted before, is refused.
-func (c *Sidecar) stop(servers []*http.Server, l *listeners) {
+// Requests that are still in progress then are aborted before the process ends, so that their senders and clients get a response.
+func (c *Sidecar) stop(servers []*http.Server, l *listeners, abort context.CancelCauseFunc) {
 	began := c.now()
 	until := began.Add(micros(c.settings.Load().GetBounds().GetGraceUs()) - shutdownMargin)
 	c.endsAt.Store(&until)
@@ -176,6 +179,7 @@
 	_ = l.callers.Close()
 	_ = l.peers.Close()
 	c.awaitIdle(drainedAt, until)
+	abort(jaypitch.ErrStopping)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin/2)
 	defer cancel()
 	for _, s := range servers {
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -39,7 +39,9 @@
 type testHost struct {
 	ip string
 	// seeds is the line with the seeds in the settings, or empty.
-	seeds   string
+	seeds string
+	// grace is the grace time in the settings; the default if empty.
+	grace   string
 	server  *standin.MeshServer
 	sidecar *Sidecar
 	stop    context.CancelFunc
@@ -118,8 +120,8 @@
 }
 
 func (m *testMesh) run(h *testHost) {
-	text := fmt.Sprintf("[sidecar]\nhost = a\ndata_centre = z\nservice = x\nbackend = %s\n%s\n[listen]\ncallers = %s:%d\npeers = %s:%d\nready = %s:%d\nmetrics = %s:%d\n[store]\naddress = %s\n",
-		h.server.Address(), h.seeds, h.ip, m.ports[portCallers], h.ip, m.ports[portPeers], h.ip, m.ports[portReady], h.ip, m.ports[portMetrics], m.storeAddress)
+	text := fmt.Sprintf("[sidecar]\nhost = a\ndata_centre = z\nservice = x\nbackend = %s\n%s\n[listen]\ncallers = %s:%d\npeers = %s:%d\nready = %s:%d\nmetrics = %s:%d\n[store]\naddress = %s\n%s",
+		h.server.Address(), h.seeds, h.ip, m.ports[portCallers], h.ip, m.ports[portPeers], h.ip, m.ports[portReady], h.ip, m.ports[portMetrics], m.storeAddress, h.bounds())
 	s, problems := settings.ParseSidecar("test", []byte(text))
 	if len(problems) > 0 {
 		m.t.Fatal(problems)
@@ -138,6 +140,14 @@
 	m.t.Cleanup(func() { cancel() })
 }
 
+// bounds returns the section of the settings with the grace time, or nothing.
+func (h *testHost) bounds() string {
+	if h.grace == "" {
+		return ""
+	}
+	return "[bounds]\ngrace = " + h.grace + "\n"
+}
+
 func (m *testMesh) dial(address string) net.Conn {
 	m.t.Helper()
 	c, err := net.Dial("tcp", address)
--- a/standin/store.go
+++ b/standin/store.go
@@ -17,6 +17,8 @@
 // Store stands in for the platform's store of a mesh. It has items with revisions, paged reads, watches, compaction and a rate limit.
 // SetFault injects faults.
 type Store struct {
+	ruleTimeout time.Duration
+
 	mu       sync.Mutex
 	revision int64
 	oldest   int64 // a watch after an older revision fails with status 410
@@ -66,7 +68,7 @@
 
 // NewStore returns a store that serves readsPerSecond requests per second and lists pageSize items at a time.
 func NewStore(readsPerSecond, pageSize int) *Store {
-	s := &Store{revision: 1, era: 1, items: map[string]storeItem{}, changed: make(chan struct{}), pageSize: pageSize,
+	s := &Store{ruleTimeout: 2 * time.Second, revision: 1, era: 1, items: map[string]storeItem{}, changed: make(chan struct{}), pageSize: pageSize,
 		limiter: rate.NewLimiter(rate.Limit(readsPerSecond), readsPerSecond), mux: http.NewServeMux()}
 	s.mux.HandleFunc("GET /jaypitch/kv-key", s.key)
 	s.mux.HandleFunc("GET /jaypitch/kv-range", s.list)
@@ -74,6 +76,11 @@
 	return s
 }
 
+// SetRuleTimeout sets the timeout of the rules of configurations that PutConfig writes from now on. It is two seconds before.
+func (s *Store) SetRuleTimeout(d time.Duration) {
+	s.ruleTimeout = d
+}
+
 // Put writes an item and returns its revision.
 func (s *Store) Put(key string, value []byte) int64 {
 	return s.write(storeItem{Key: key, Value: value})
@@ -85,7 +92,7 @@
 	var rules []map[string]any
 	for _, p := range prefixes {
 		rules = append(rules, map[string]any{"name": p, "kind": "idempotent", "targetLatencyS": 0.5, "priority": 1, "match": map[string]any{"prefix": p},
-			"action": map[string]any{"service": service, "timeoutS": 2, "maxAttempts": 2}})
+			"action": map[string]any{"service": service, "timeoutS": s.ruleTimeout.Seconds(), "maxAttempts": 2}})
 	}
 	return s.putJSON(ConfigKey, map[string]any{"version": "r" + strconv.Itoa(version), "limits": map[string]any{"maxBodyBytes": 1000},
 		"listeners": []any{map[string]any{"host": host, "routeRules": rules}}, "clusters": []any{map[string]any{"name": service}}})
--- a/update.go
+++ b/update.go
@@ -28,6 +28,8 @@
 	ErrRestored = errors.New("the store was restored from a copy")
 	// ErrSuperseded is the cancellation cause of an attempt if another attempt of the same request completed first.
 	ErrSuperseded = errors.New("another attempt of the request completed first")
+	// ErrStopping is the cancellation cause of a request that is still in progress when its process ends.
+	ErrStopping = errors.New("the sidecar stops")
 )
 
 // Position returns the position up to which the update is complete.
