A response to HEAD has no body and keeps its length

The receiver awaited the body that the Content-Length of a response to HEAD announces, and reported the request as spoiled (502) after the server had executed it. The length was lost too: a client got Content-Length 0.

--- a/hop/client.go
+++ b/hop/client.go
@@ -47,6 +47,7 @@
 		_ = a.Body.Close()
 		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeUnknown, "the sidecar's response cannot be parsed: %s", e.Reason)
 	}
+	response.SetHead(f.Method, a)
 	response.NetworkTime = c.now().Sub(started) - response.ServiceTime - response.QueueTime
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody))
 	if err != nil {
--- a/hop/server.go
+++ b/hop/server.go
@@ -122,6 +122,13 @@
 			h[name] = nil
 		}
 	}
+	if r.Head && r.Execution == jaypitch.Executed {
+		if r.HeadLength != "" {
+			h[headerLength] = []string{r.HeadLength}
+		}
+		w.WriteHeader(status)
+		return nil
+	}
 	if r.Stream == nil {
 		h[headerLength] = []string{strconv.Itoa(len(r.Body))}
 		w.WriteHeader(status)
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -261,6 +261,7 @@
 	r.observeAnswer(f, a.Header, response)
 	r.observeNotice(f, a.Header, response, server)
 	if response.Execution == jaypitch.Executed {
+		response.SetHead(f.Method, a)
 		body, more, err := readBody(a)
 		response.Body = body
 		if err != nil {
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -70,6 +70,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Head is true for a response to HEAD, which has no body. HeadLength is the Content-Length that it announces, empty if it announces none.
+	Head       bool
+	HeadLength string
 	// Stream follows Body in a long response; nil otherwise. Its Read fails if the response is truncated.
 	Stream Stream
 	// StreamUntil is the time at which the stream ends at the latest. A client that reads too slowly must not hold it longer.
--- a/outbound/stream_test.go
+++ b/outbound/stream_test.go
@@ -180,14 +180,21 @@
 	return g
 }
 
-// send sends a request on a new connection of a client.
-func (g *streamFixture) send(t *testing.T, target, protocol string) net.Conn {
+// dial opens a connection of a client.
+func (g *streamFixture) dial(t *testing.T) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", g.clients)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// send sends a request on a new connection of a client.
+func (g *streamFixture) send(t *testing.T, target, protocol string) net.Conn {
+	t.Helper()
+	c := g.dial(t)
 	if _, err := fmt.Fprintf(c, "GET %s %s\r\nHost: h\r\n%s: one\r\nConnection: close\r\n\r\n", target, protocol, platform.HeaderNames.RequestID); err != nil {
 		t.Fatal(err)
 	}
