Of an attempt and its hedge the surer response is returned

selectResponse returned the first attempt's refusal when the hedge ended with unknown execution or a server error, so a request that a server executed was answered as not executed. It also counted the hedge twice if its response was returned.

--- a/outbound/hedge.go
+++ b/outbound/hedge.go
@@ -115,16 +115,28 @@
 	}
 	a.sent++
 	a.excluded = append(a.excluded, h.server)
-	if !h.response.Arrived {
-		return first
+	chosen, other := first, h.response
+	if succeeded(h.response) || certainty(h.response) > certainty(first) {
+		chosen, other = h.response, first
 	}
-	a.arrived++
-	if succeeded(h.response) {
-		first.Discard()
-		return h.response
+	// The caller counts the attempt of the response that it gets.
+	if other.Arrived {
+		a.arrived++
+	}
+	other.Discard()
+	return chosen
+}
+
+// certainty orders responses by how surely the server executed the request. Of two responses the surer one holds for the request: one that
+// says "not executed" is not if the other attempt may have been executed.
+func certainty(r *jaypitch.MeshResponse) int {
+	switch r.Execution {
+	case jaypitch.Executed:
+		return 2
+	case jaypitch.ExecutionUnknown:
+		return 1
 	}
-	h.response.Discard()
-	return first
+	return 0
 }
 
 // succeeded reports whether a response ends the attempts: the server executed the request and its status is below 500.
--- a/outbound/hedge_test.go
+++ b/outbound/hedge_test.go
@@ -108,6 +108,57 @@
 	}
 }
 
+// TestHedgeOutcomes tests every outcome of a first attempt with every outcome of its hedge. It guards against a response that says "not executed"
+// after a hedge that may have been executed or was, and against an attempt that counts twice.
+func TestHedgeOutcomes(t *testing.T) {
+	for n1, first := range outcomes {
+		for n2, second := range outcomes {
+			t.Run(n1+" and "+n2, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					// The first attempt ends after its hedge, which doesn't cancel it.
+					h := &timedForwarder{responses: []timedResponse{{first, 3 * time.Second}, {second, time.Second}}}
+					s := twoServers(true, 2)
+					d := NewDispatcher("10.0.0.9:1", func(server string) string { return server }, s, h, nil, route.NewMeshPicker("here", func() float64 { return 0 }),
+						route.NewMeshRetryBudget(0, 1000, 10*time.Second), time.Now, func(*jaypitch.MeshRequest, *jaypitch.MeshResponse, int) {})
+					f := &jaypitch.MeshRequest{ID: "one", Idempotent: true, Deadline: time.Now().Add(20 * time.Second), TargetDeadline: time.Now().Add(time.Second)}
+					a := &attempts{rule: s.Table().Match("h", "/"), service: "x"}
+					pick := d.pick(a, f)
+					done := make(chan *jaypitch.MeshResponse)
+					go func() { done <- d.attempt(context.Background(), a, d.requestFor(a, f, pick), pick.Server) }()
+					time.Sleep(time.Second)
+					is.True(d.RecordProbe(pick.Server.GetId(), false))
+					r := <-done
+					for _, o := range []jaypitch.MeshResponse{first, second} {
+						if o.Execution != jaypitch.NotExecuted {
+							is.True(r.Execution != jaypitch.NotExecuted)
+						}
+						if o.Execution == jaypitch.Executed && (n2 != "ok" || o.Status == second.Status) {
+							is.Equal(r.Execution, jaypitch.Executed)
+						}
+					}
+					if succeeded(r) {
+						return // no further attempt, so the counts don't matter
+					}
+					// shouldRetry counts the attempt whose response is returned.
+					arrived := a.arrived
+					if r.Arrived {
+						arrived++
+					}
+					want := 0
+					for _, o := range []jaypitch.MeshResponse{first, second} {
+						if o.Arrived {
+							want++
+						}
+					}
+					is.Equal(arrived, want)
+					is.Equal(a.sent, 2)
+				})
+			})
+		}
+	}
+}
+
 // twoServers returns the replica of a mesh with one rule and two servers of its service.
 func twoServers(idempotent bool, attempts int64) *mesh.Replica {
 	s := mesh.NewReplica()
