A client that closes only its sending side gets its response

The HTTP server cancels a request once it reads the end of what the client sends. TCP shows that alike for a client that has left and for one that still reads; only the former resets the connection when it gets data. The wrapped connection now holds back that end while a request is processed: for 250 ms, then it sends a client of HTTP/1.1 an interim 100 Continue, which clients skip, and looks every 25 ms whether the connection was reset. A client of HTTP/1.0 counts as one that has left after the 250 ms.

TestLateDeferredBody checks the response for a deferred body that doesn't come.

--- a/hop/client_code_test.go
+++ b/hop/client_code_test.go
@@ -1,8 +1,14 @@
 package hop
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -54,3 +60,35 @@
 		is.Equal(r.Execution, jaypitch.ExecutionUnknown)
 	})
 }
+
+// TestLateDeferredBody guards against a deferred body that comes too late and ends without a response that says so.
+func TestLateDeferredBody(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(NewServer(&lateBodyReceiver{}, "Id", time.Now, func() bool { return false }, func(string, jaypitch.Position) {}, http.NotFoundHandler()))
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "PUT / HTTP/1.1\r\nHost: h\r\n%s: %s\r\nExpect: 100-continue\r\nContent-Length: 100000\r\n\r\npart", headerAttempt, formatAttempt(request(), time.Now()))
+	is.NoErr(err)
+	in := bufio.NewReader(c)
+	a, err := http.ReadResponse(in, nil)
+	is.NoErr(err)
+	is.Equal(a.StatusCode, http.StatusContinue)
+	a, err = http.ReadResponse(in, nil)
+	is.NoErr(err)
+	r, e := parseHead(a)
+	is.True(e == nil)
+	is.Equal(r.Code, jaypitch.CodeBodyLate)
+	is.Equal(r.Execution, jaypitch.NotExecuted)
+}
+
+// lateBodyReceiver refuses a request whose deferred body can't be read, as package inbound does.
+type lateBodyReceiver struct{}
+
+func (*lateBodyReceiver) Serve(_ context.Context, f *jaypitch.MeshRequest) *jaypitch.MeshResponse {
+	if _, err := f.ReadBody(); err != nil {
+		return jaypitch.NotExecutedResponse(jaypitch.CodeBodyCut, "reading the body failed: %s", err)
+	}
+	return &jaypitch.MeshResponse{Execution: jaypitch.Executed}
+}
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -90,7 +90,9 @@
 	defer h.inProgress.Add(-1)
 	local := h.localState()
 	rec := Record{ID: r.Header.Get(h.names.RequestID)}
+	setInterim(r.Context(), r.ProtoAtLeast(1, 1), false)
 	response := h.respond(r, local, arrived, &rec)
+	setInterim(r.Context(), false, true)
 	if local.Stopping || h.localState().Stopping {
 		w.Header()["Connection"] = []string{"close"}
 	}
--- a/outbound/limits.go
+++ b/outbound/limits.go
@@ -22,6 +22,7 @@
 type limitedConn struct {
 	net.Conn
 	listener *Listener
+	watch    closeWatch
 
 	mu    sync.Mutex
 	phase phase
@@ -104,6 +105,8 @@
 // SetReadDeadline sets the current configuration's deadline for the phase that begins, or t if the configuration has none. A zero t removes
 // the deadline.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	// The HTTP server aborts its background read by a deadline that has passed.
+	c.watch.setAborted(!t.IsZero() && t.Before(c.listener.now()))
 	if t.IsZero() {
 		return c.Conn.SetReadDeadline(t)
 	}
--- a/outbound/stream_test.go
+++ b/outbound/stream_test.go
@@ -132,11 +132,11 @@
 type streamFixture struct {
 	receiver *inbound.Receiver
 	clients  string
-	// half is closed once the client has a part of a response, of which the server sends only half until then.
+	// half is closed once the client has a part of a response, of which the server sends only half (slow) or nothing (held) until then.
 	half chan struct{}
 }
 
-// newStreamFixture starts a server whose response has as many bytes as the last element of the path says. The path begins with length, chunks or slow.
+// newStreamFixture starts a server whose response has as many bytes as the last element of the path says. The path begins with length, chunks, slow or held.
 func newStreamFixture(t *testing.T, timeout time.Duration) *streamFixture {
 	t.Helper()
 	g := &streamFixture{half: make(chan struct{})}
@@ -147,6 +147,12 @@
 		if strings.HasPrefix(r.URL.Path, "/length") {
 			w.Header().Set("Content-Length", strconv.Itoa(bytes))
 		}
+		if strings.HasPrefix(r.URL.Path, "/held") {
+			select {
+			case <-g.half:
+			case <-r.Context().Done():
+			}
+		}
 		block := make([]byte, 64<<10)
 		for half := bytes / 2; bytes > 0; bytes -= len(block) {
 			if strings.HasPrefix(r.URL.Path, "/slow") && bytes < half {
