--- a/jaypitch.go
+++ b/jaypitch.go
@@ -47,6 +47,7 @@
 //   - refused revision: an invalid revision of a document; the accepted one stays
 //   - tombstone: the record of a deleted document or server; compaction: the store's removal of old history
 //   - rule, destination: a route of the mesh; one of its services with a weight ("part" in messages)
+//   - contested address: an address that the entries of several servers name; the server that answers there decides which one counts
 //   - replica: a proxy's copy of the store's content, merged by revision from the store and peers
 //   - table: the routing table built from the replica, replaced as a whole; withdrawn: a declared route that can't be served
 //   - parent, child: the node that another polls for changes, and the node that polls
