Responses whose stream breaks off are recorded as such

A client's request counted as ok whatever became of its stream. Its record has the code answer_cut, answer_too_late (deadline, also of a client that doesn't read) or caller_gone now.

--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -99,6 +99,9 @@
 	rec.Response = response
 	rec.Status = h.status(response)
 	err := h.write(w, rec, response)
+	if err != nil && response.Stream != nil {
+		rec.Response = truncated(r.Context(), response, err)
+	}
 	rec.Took = h.now().Sub(arrived)
 	rec.Overhead = rec.Took - response.ServiceTime
 	h.record(rec)
--- a/outbound/stream_test.go
+++ b/outbound/stream_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -132,6 +133,8 @@
 type streamFixture struct {
 	receiver *inbound.Receiver
 	clients  string
+	// codes gets the result code of each request.
+	codes chan jaypitch.Code
 	// half is closed once the client has a part of a response, of which the server sends only half (slow) or nothing (held) until then.
 	half chan struct{}
 }
@@ -139,7 +142,7 @@
 // newStreamFixture starts a server whose response has as many bytes as the last element of the path says. The path begins with length, chunks, slow or held.
 func newStreamFixture(t *testing.T, timeout time.Duration) *streamFixture {
 	t.Helper()
-	g := &streamFixture{half: make(chan struct{})}
+	g := &streamFixture{half: make(chan struct{}), codes: make(chan jaypitch.Code, 100)}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		bytes, _ := strconv.Atoi(r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:])
 		w.Header().Set(platform.HeaderNames.RequestID, r.Header.Get(platform.HeaderNames.RequestID))
@@ -179,7 +182,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	clients := NewServer(NewHandler(d, s, platform.HeaderNames, func() LocalState { return LocalState{} }, 1<<20, evidence.NewTracker(), time.Now, func(Record) {}))
+	clients := NewServer(NewHandler(d, s, platform.HeaderNames, func() LocalState { return LocalState{} }, 1<<20, evidence.NewTracker(), time.Now,
+		func(r Record) { g.codes <- r.Response.Code }))
 	t.Cleanup(func() { _ = clients.Close() })
 	go func() { _ = clients.Serve(NewListener(l, s, time.Now)) }()
 	g.clients = l.Addr().String()
@@ -230,6 +234,7 @@
 					is.NoErr(err)
 					is.Equal(a.StatusCode, http.StatusOK)
 					is.Equal(n, int64(bytes))
+					is.Equal(<-g.codes, jaypitch.CodeOK)
 					g.awaitFreeSlot(t)
 				})
 			}
@@ -237,6 +242,21 @@
 	}
 }
 
+// TestStreamHoldsFewBytes guards against a long response that is held in memory as a whole.
+func TestStreamHoldsFewBytes(t *testing.T) {
+	is := is.New(t)
+	g := newStreamFixture(t, time.Minute)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, n, err := readResponse(g.send(t, "/chunks/67108864", "HTTP/1.1"))
+	is.NoErr(err)
+	runtime.ReadMemStats(&after)
+	is.Equal(n, int64(64<<20))
+	// Server, both sidecars and client together allocated 1.6 MB, for the first 256 KiB at each sidecar and for their buffers.
+	t.Logf("%d bytes allocated", after.TotalAlloc-before.TotalAlloc)
+	is.True(after.TotalAlloc-before.TotalAlloc < 16<<20)
+}
+
 // TestStreamOfSlowServer guards against a response that breaks off because its server sends the rest after the client has read the start.
 func TestStreamOfSlowServer(t *testing.T) {
 	is := is.New(t)
@@ -260,6 +280,7 @@
 	is.NoErr(err)
 	is.NoErr(c.Close())
 	g.awaitFreeSlot(t)
+	is.Equal(<-g.codes, jaypitch.CodeCallerGone)
 }
 
 // TestStreamOfClientThatDoesNotRead guards against a client that holds a slot past its deadline by reading nothing, and against a response that
@@ -276,6 +297,8 @@
 			// The rest that the sockets hold is followed by an error, not by a regular end.
 			rest, err := io.ReadAll(c)
 			is.True(err != nil || protocol == "HTTP/1.1" && !strings.HasSuffix(string(rest), "0\r\n\r\n"))
+			code := <-g.codes
+			is.True(code == jaypitch.CodeAnswerCut || code == jaypitch.CodeAnswerTooLate)
 		})
 	}
 }
