--- a/hop/download.go
+++ b/hop/download.go
@@ -17,15 +17,16 @@
 
 var downloadBuffers = sync.Pool{New: func() any { return new([downloadChunk]byte) }}
 
-// copyDownload passes on a download as it arrives. It fails if the reader takes nothing for stallTimeout.
-func copyDownload(w http.ResponseWriter, body io.Reader) error {
+// copyDownload passes on a download as it arrives. It fails if the reader takes nothing for stallTimeout, or hasn't taken all at a time, unless that
+// is zero.
+func copyDownload(w http.ResponseWriter, body io.Reader, until time.Time) error {
 	control := http.NewResponseController(w)
 	buffer := downloadBuffers.Get().(*[downloadChunk]byte)
 	defer downloadBuffers.Put(buffer)
 	for {
 		n, err := body.Read(buffer[:])
 		if n > 0 {
-			if writeErr := writeChunk(w, control, buffer[:n]); writeErr != nil {
+			if writeErr := writeChunk(w, control, buffer[:n], until); writeErr != nil {
 				return writeErr
 			}
 		}
@@ -38,9 +39,13 @@
 	}
 }
 
-// writeChunk writes a chunk within stallTimeout.
-func writeChunk(w io.Writer, control *http.ResponseController, chunk []byte) error {
-	if err := ignoreUnsupported(control.SetWriteDeadline(time.Now().Add(stallTimeout))); err != nil {
+// writeChunk writes a chunk within stallTimeout, and before a time unless that is zero.
+func writeChunk(w io.Writer, control *http.ResponseController, chunk []byte, until time.Time) error {
+	deadline := time.Now().Add(stallTimeout)
+	if !until.IsZero() && until.Before(deadline) {
+		deadline = until
+	}
+	if err := ignoreUnsupported(control.SetWriteDeadline(deadline)); err != nil {
 		return err
 	}
 	if _, err := w.Write(chunk); err != nil {
--- a/hop/notice.go
+++ b/hop/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +32,8 @@
 	noticeRefusing = "refusing"
 	// noticeNoTrial is, in a request, 1 if a server has refused the request already.
 	noticeNoTrial = "no_trial"
+	// noticeAnswering is, in a response, the escaped ID of the server that answers at an address which several entries of the store name.
+	noticeAnswering = "answering"
 	// noticeCode is, in a response, a result code that older sidecars don't know. They get the code in headerResponse.
 	noticeCode = "code"
 )
@@ -82,6 +85,9 @@
 	if r.LoadReport.Refusing {
 		pairs = append(pairs, pair(noticeRefusing, formatBool(true)))
 	}
+	if r.LoadReport.Answering != "" {
+		pairs = append(pairs, pair(noticeAnswering, url.QueryEscape(r.LoadReport.Answering)))
+	}
 	if olderCode(r.Code) != r.Code {
 		pairs = append(pairs, pair(noticeCode, formatInt(int64(r.Code))))
 	}
@@ -104,6 +110,9 @@
 	}
 	r.LoadReport.Leaving = p[noticeLeaving] == formatBool(true)
 	r.LoadReport.Refusing = p[noticeRefusing] == formatBool(true)
+	if id, err := url.QueryUnescape(p[noticeAnswering]); err == nil {
+		r.LoadReport.Answering = id
+	}
 	if code, err := strconv.Atoi(p[noticeCode]); err == nil && olderCodes[jaypitch.Code(code)] == r.Code {
 		r.Code = jaypitch.Code(code)
 	}
--- a/hop/server.go
+++ b/hop/server.go
@@ -122,6 +122,13 @@
 			h[name] = nil
 		}
 	}
+	if r.Head && r.Execution == jaypitch.Executed {
+		if r.HeadLength != "" {
+			h[headerLength] = []string{r.HeadLength}
+		}
+		w.WriteHeader(status)
+		return nil
+	}
 	if r.Stream == nil {
 		h[headerLength] = []string{strconv.Itoa(len(r.Body))}
 		w.WriteHeader(status)
@@ -132,16 +139,5 @@
 		return err
 	}
 	defer r.Stream.Close()
-	if r.Length > 0 {
-		h[headerLength] = []string{strconv.FormatInt(r.Length, 10)}
-	}
-	w.WriteHeader(status)
-	if r.Download {
-		return copyDownload(w, r.Stream)
-	}
-	if _, err := w.Write(r.Body); err != nil {
-		return err
-	}
-	_, err := io.Copy(w, r.Stream)
-	return err
+	return writeStream(w, status, r)
 }
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -57,17 +57,12 @@
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 	recordNotice func(serverID string, n jaypitch.ServerNotice)
 	refuseNotice func(serverID string, e *jaypitch.Error)
+	recordAnswer func(mesh.Answer)
 }
 
 // Option configures a Receiver.
 type Option func(*Receiver)
 
-// stream is the rest of a response body that is too long to buffer. The request holds its slot until the stream is closed.
-type stream struct {
-	io.ReadCloser
-	release func()
-}
-
 const (
 	// maxBufferedBody is the size in bytes of the longest response body of known length that is buffered. A body of unknown length is
 	// streamed from this size.
@@ -89,6 +84,7 @@
 	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, queueTime time.Duration), options ...Option) *Receiver {
 	r := &Receiver{address: address, names: names, replica: replica, sourceAge: sourceAge, pool: pool, now: now, record: record,
 		slots: admit.NewSlots(defaultSlots, rand.Float64), random: rand.Float64, failing: map[string]admit.FailureShare{}}
+	r.recordAnswer = func(a mesh.Answer) { replica.RecordAnswer(a, now()) }
 	for _, o := range options {
 		o(r)
 	}
@@ -193,7 +189,7 @@
 	select {
 	case e = <-w.Decision:
 	case <-ctx.Done():
-		e = jaypitch.Errorf(jaypitch.CodeCallerGone, "the sender canceled the queued request")
+		e = queueCanceled(ctx)
 	case <-t.C:
 		e = jaypitch.Errorf(jaypitch.CodeDeadline, "the deadline passed while the request was queued")
 	}
@@ -201,7 +197,12 @@
 		r.abandon(w, false)
 		return refusal(e)
 	}
-	if e := r.checkServer(f); e != nil {
+	e = r.checkServer(f)
+	if e == nil && ctx.Err() != nil {
+		// The slot was granted at the same time.
+		e = queueCanceled(ctx)
+	}
+	if e != nil {
 		r.releaseSlot(w, 0)
 		return refusal(e)
 	}
@@ -253,7 +254,9 @@
 		return jaypitch.Errorf(jaypitch.CodeStopping, "server %q is draining", f.ServerID)
 	}
 	r.observeTable(t)
-	r.updateServer(f.ServerID, v)
+	if id := t.Answering(r.address); id == "" || id == f.ServerID {
+		r.updateServer(f.ServerID, v)
+	}
 	return nil
 }
 
@@ -269,7 +272,7 @@
 	}
 }
 
-// send sends the request to the server. The request holds its slot until the response is read completely or its stream is closed.
+// send sends the request to the server. The request holds its slot until the response is read completely or its stream ends or is closed.
 // Server is the server's entry from before the request was sent; nil if it wasn't listed.
 func (r *Receiver) send(ctx context.Context, f *jaypitch.MeshRequest, w *admit.SlotRequest, server *schema.MeshServer) *jaypitch.MeshResponse {
 	started := r.now()
@@ -284,21 +287,25 @@
 	}
 	response := r.classify(f, a)
 	r.observeResponse(a.Header, started)
+	r.observeAnswer(f, a.Header, response)
 	r.observeNotice(f, a.Header, response, server)
 	if response.Execution == jaypitch.Executed && f.StreamsResponse(a.StatusCode, a.ContentLength) {
 		r.stream(w, a, response, started, cancel)
 		return response
 	}
 	if response.Execution == jaypitch.Executed {
+		response.SetHead(f.Method, a)
 		body, more, err := readBody(a)
 		response.Body = body
 		if err != nil {
 			response = jaypitch.ExecutionUnknownResponse(jaypitch.CodeSpoiled, "the response was truncated: %s", err)
 		} else if more {
-			response.Stream = &stream{ReadCloser: a.Body, release: func() {
+			response.Stream = a.Body
+			response.LimitStream(f.Deadline.Add(deadlineGrace))
+			response.ReleaseAfterStream(func() {
 				cancel()
 				r.releaseSlot(w, 0)
-			}}
+			})
 			return response
 		}
 	}
@@ -332,6 +339,8 @@
 	switch {
 	case errors.As(err, &e) && !e.Sent:
 		return jaypitch.NotExecutedResponse(jaypitch.CodeUnreachable, "no connection to the backend server: %s", err)
+	case errors.Is(context.Cause(ctx), jaypitch.ErrStopping):
+		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeUnknown, "the sidecar stopped while the server processed the request")
 	case ctx.Err() == context.Canceled:
 		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeCallerGone, "the sender canceled the request while the server processed it")
 	case ctx.Err() != nil:
@@ -495,7 +504,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
-		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule].At(r.now()), Refusing: r.refusals.Refusing(f.Rule, r.now()), Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
+		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule].At(r.now()), Refusing: r.refusals.Refusing(f.Rule, r.now()), Stopping: r.stopping, Leaving: leaving,
+		Answering: r.replica.Table().Answering(r.address), Revision: position.Revision, Era: position.Era, SourceAge: age}
 	if rate, limited := r.slots.RateLimit(r.now()); limited {
 		if r.notice.Limited {
 			rate = min(rate, r.notice.RateLimit)
@@ -505,13 +515,6 @@
 	return report
 }
 
-// Close closes the stream and releases the slot.
-func (s *stream) Close() error {
-	err := s.ReadCloser.Close()
-	s.release()
-	return err
-}
-
 // readBody reads a response's body, or the first maxBufferedBody bytes of it. More is true if the rest may follow.
 func readBody(a *http.Response) (body []byte, more bool, err error) {
 	if a.ContentLength > 0 && a.ContentLength <= maxBufferedBody {
--- a/logline/kind.go
+++ b/logline/kind.go
@@ -36,6 +36,7 @@
 	{"server notice refused", []string{"server", "code", "reason"}, "what the backend server states about itself can't be decoded"},
 	{"link full", []string{"direction", "refused", "queued_bytes", "transfers"}, "the link of this host had no room for downloads within their targets in the last second; direction is out for what the server here sends, in for what clients here receive"},
 	{"link has room", []string{"direction", "refused_total"}, "the link refused no download in the last second, after it did"},
+	{"server answers at a contested address", []string{"address", "expected", "server"}, "entries of several servers name an address, and a response shows which of them is there; server is empty if none of them is"},
 	{"sidecar taken for dead", []string{"server", "address", "error"}, "the sidecar beside a server is unresponsive and did not respond to a probe"},
 	{"sidecar gives no answer", []string{"peer", "error"}, "a sidecar did not respond to a request for its configuration"},
 	{"difference refused", []string{"peer", "code", "reason"}, "a difference from another sidecar does not apply to the configuration version on this sidecar"},
--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -28,6 +28,8 @@
 	servers map[string]*serverEntry
 	// evacuations holds the evacuations and their tombstones by data centre.
 	evacuations map[string]*evacuation
+	// answering holds the IDs of the servers that answered at addresses of several entries, by address.
+	answering map[string]string
 	// removalsKnownAfter is the lowest revision after which all removals are known. A request for changes since an earlier one gets
 	// the full state.
 	removalsKnownAfter int64
@@ -86,8 +88,8 @@
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	s := &Replica{servers: map[string]*serverEntry{}, evacuations: map[string]*evacuation{}}
-	s.table.Store(newTable(nil, nil, nil, nil))
+	s := &Replica{servers: map[string]*serverEntry{}, evacuations: map[string]*evacuation{}, answering: map[string]string{}}
+	s.table.Store(newTable(nil, nil, nil, nil, nil))
 	s.published.Store(&jaypitch.Position{})
 	return s
 }
@@ -154,6 +156,7 @@
 	published := s.position
 	s.published.Store(&published)
 	if c.Config || len(c.Servers)+len(c.Evacuations) > 0 {
+		s.endAnswers(c.Servers)
 		s.rebuild(now)
 	}
 	return c
@@ -420,7 +423,7 @@
 			}
 		}
 	}
-	t := newTable(s.config, s.rules, usable, s.currentEvacuations())
+	t := newTable(s.config, s.rules, usable, s.answering, s.currentEvacuations())
 	t.leaving = leaving
 	s.table.Store(t)
 }
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -87,13 +87,18 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Head is true for a response to HEAD, which has no body. HeadLength is the Content-Length that it announces, empty if it announces none.
+	Head       bool
+	HeadLength string
 	// Stream follows Body in a long response; nil otherwise. Its Read fails if the response is truncated.
 	Stream Stream
 	// Length is the number of bytes of Stream if Body is empty; zero if it is unknown.
 	Length int64
 	// Download is true if Stream is broken off once the reader takes nothing for a time, and is passed on as it arrives.
-	Download   bool
-	LoadReport MeshLoadReport
+	Download bool
+	// StreamUntil is the time at which the stream ends at the latest. A client that reads too slowly must not hold it longer.
+	StreamUntil time.Time
+	LoadReport  MeshLoadReport
 	// ServiceTime is the time that the server took for the request.
 	ServiceTime time.Duration
 	// NetworkTime is the part of the attempt's duration, measured by the sender, in which the request was neither queued nor at the server.
@@ -134,6 +139,8 @@
 	Stopping bool
 	// Leaving is true if the server stated in a response that it is leaving.
 	Leaving bool
+	// Answering is the ID of the server that answers at the receiver's address, if several entries of the store name that; empty otherwise.
+	Answering string
 	// Limited is true if the server names a rate limit, RateLimit, in requests per second from all hosts together. LimitWait is the time
 	// until the limit has room for a further request. Both are set only if Limited.
 	Limited   bool
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -35,6 +35,7 @@
 
 	// beginAttempt is the argument of WithDataCentreCounts.
 	beginAttempt func(dataCentre string) (end func())
+	recordAnswer func(mesh.Answer)
 
 	mu     sync.Mutex
 	picker *route.MeshPicker
@@ -91,6 +92,7 @@
 	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int), options ...Option) *Dispatcher {
 	d := &Dispatcher{localAddress: localAddress, peerAddress: peerAddress, replica: replica, forwarder: forwarder, local: local,
 		picker: picker, budget: budget, now: now, record: record, hedgeable: map[string]map[*hedgeable]bool{}}
+	d.recordAnswer = func(a mesh.Answer) { replica.RecordAnswer(a, now()) }
 	for _, o := range options {
 		o(d)
 	}
@@ -109,7 +111,7 @@
 	d.picker.Prune(t)
 }
 
-// Do makes the attempts of a request and returns the response for the client. The attempts are canceled
+// Do makes the attempts of a request and returns the response for the client. The attempts and the response's stream are canceled
 // responseGrace after the deadline.
 func (d *Dispatcher) Do(ctx context.Context, f *jaypitch.MeshRequest, rule *mesh.Rule, service string) *jaypitch.MeshResponse {
 	ctx, cancel := context.WithTimeout(ctx, f.Deadline.Sub(d.now())+responseGrace)
@@ -129,7 +131,8 @@
 		}
 	}
 	r := a.result()
-	endWithStream(r, cancel)
+	r.LimitStream(f.Deadline.Add(responseGrace))
+	r.ReleaseAfterStream(cancel)
 	return r
 }
 
@@ -204,6 +207,7 @@
 	u := &hedgeable{ctx: ctx, cancel: cancel, attempts: a, request: f}
 	d.register(v.GetId(), u)
 	r := d.send(attemptCtx, f, v)
+	r.ReleaseAfterStream(func() { cancel(nil) })
 	second := d.unregister(v.GetId(), u)
 	if !superseded(attemptCtx) {
 		d.finish(v, a.rule, r)
@@ -212,8 +216,7 @@
 	}
 	a.sent++
 	d.record(f, r, a.sent)
-	endWithStream(r, func() { cancel(nil) })
-	return second.selectResponse(a, r)
+	return second.selectResponse(attemptCtx, a, r)
 }
 
 // send forwards a request to the sidecar beside a server, or to the local receiver.
@@ -227,6 +230,7 @@
 	if r.LoadReport.Leaving || d.statesLeaving(r) {
 		d.replica.RecordLeaving(v, d.now())
 	}
+	d.observeAnswer(v, r)
 	return r
 }
 
--- a/outbound/read_ahead.go
+++ b/outbound/read_ahead.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 )
@@ -259,6 +260,14 @@
 	return c.Conn.Close()
 }
 
+// SyscallConn returns the connection's raw form.
+func (c *aheadConn) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, os.ErrInvalid
+}
+
 // SetLinger sets what closing the connection does with data that wasn't sent.
 func (c *aheadConn) SetLinger(seconds int) error {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -45,13 +45,13 @@
 
 // Sidecar is one process beside a backend server.
 type Sidecar struct {
-	settings     atomic.Pointer[schema.SidecarSettings]
-	loadSettings func() (*schema.SidecarSettings, error)
-	platform     Platform
-	log          *zap.Logger
-	logBudget    *logline.Budget
-	now          func() time.Time
-	process      uint64
+	settings  atomic.Pointer[schema.SidecarSettings]
+	reloader  *reloader
+	platform  Platform
+	log       *zap.Logger
+	logBudget *logline.Budget
+	now       func() time.Time
+	process   uint64
 
 	replica      *mesh.Replica
 	watcher      *watcher
@@ -102,11 +102,15 @@
 
 // New returns a sidecar with validated settings. load reads the settings again and returns nil if they are unchanged; dropped returns
 // the number of log lines that the writer dropped. New fails if the listen address for peers or the retry ratio can't be parsed.
-func New(s *schema.SidecarSettings, load func() (*schema.SidecarSettings, error), p Platform, log *zap.Logger, dropped func() int64) (*Sidecar, error) {
+func New(s *schema.SidecarSettings, load func() (*schema.SidecarSettings, error), p Platform, log *zap.Logger, dropped func() int64, options ...Option) (*Sidecar, error) {
 	log = log.With(zap.String("node", s.GetSidecar().GetHost()))
-	c := &Sidecar{loadSettings: load, platform: p, log: log, logBudget: logline.NewBudget(), now: time.Now, process: rand.Uint64(), replica: mesh.NewReplica(), tracker: evidence.NewTracker(),
+	c := &Sidecar{platform: p, log: log, logBudget: logline.NewBudget(), now: time.Now, process: rand.Uint64(), replica: mesh.NewReplica(), tracker: evidence.NewTracker(),
 		burnCounter: burnCounter{counter: burn.NewCounter()}, dataCentres: dataCentres{tracker: evidence.NewTracker()}}
 	c.settings.Store(s)
+	c.reloader = &reloader{sidecar: c, load: load}
+	for _, o := range options {
+		o(c)
+	}
 	c.metrics = newMetrics(c, dropped)
 	listen, err := netip.ParseAddrPort(s.GetListen().GetPeers())
 	if err != nil {
@@ -129,8 +133,8 @@
 	// Receivers identify this sidecar by the local address, to poll it for newer revisions.
 	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()))
 	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.HeaderNames, c.replica, c.confirmation.age, c.backendPool, c.now, c.recordReceived,
-		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice), inbound.WithDataCentre(s.GetSidecar().GetDataCentre()), inbound.WithUnconfirmed(c.unconfirmed), c.withCold(),
-		inbound.WithLink(c.link.incoming, c.link.outgoing))
+		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice), inbound.WithAnswers(c.recordAnswer), inbound.WithDataCentre(s.GetSidecar().GetDataCentre()),
+		inbound.WithUnconfirmed(c.unconfirmed), c.withCold(), inbound.WithLink(c.link.incoming, c.link.outgoing))
 	control := http.NewServeMux()
 	control.Handle(meshpeer.NewHandler(c.replica, c.confirmation.age, c.find, c.burnCounts, c.recordSender))
 	control.HandleFunc("GET "+hop.ProbePath, func(http.ResponseWriter, *http.Request) {})
@@ -140,7 +144,7 @@
 	retryBudget := route.NewMeshRetryBudget(ratio, s.GetBounds().GetRetrySlack(), micros(s.GetBounds().GetRetryWindowUs()))
 	c.hopClient = hop.NewClient(c.peerPool, c.now)
 	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
-		outbound.WithNotices(p.DecodeNotice), outbound.WithDataCentreCounts(c.beginAttempt), outbound.WithLink(c.link.incoming, c.link.outgoing))
+		outbound.WithNotices(p.DecodeNotice), outbound.WithAnswers(c.recordAnswer), outbound.WithDataCentreCounts(c.beginAttempt), outbound.WithLink(c.link.incoming, c.link.outgoing))
 	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, s.GetSidecar().GetMemoryMb()*megabyte/bodyMemoryDivisor, c.tracker, c.now, c.recordRequest)
 	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, seeded: c.seeded, starting: c.starting, readsAllPages: c.readsAllPages, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
@@ -155,16 +159,18 @@
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	for _, l := range []interface{ run(context.Context) }{c.watcher, c.peerPoller, &ticker{sidecar: c}, &reloader{sidecar: c}, &prober{sidecar: c, inProgress: map[string]bool{}}} {
+	for _, l := range []interface{ run(context.Context) }{c.watcher, c.peerPoller, &ticker{sidecar: c}, c.reloader, &prober{sidecar: c, inProgress: map[string]bool{}}} {
 		c.wg.Add(1)
 		go (&task{wg: &c.wg, loop: l}).run(runCtx)
 	}
-	servers := c.serve(runCtx, listeners)
+	requestCtx, abort := context.WithCancelCause(runCtx)
+	defer abort(nil)
+	servers := c.serve(requestCtx, listeners)
 	s := c.settings.Load()
 	c.log.Info("started", zap.String("host", s.GetSidecar().GetHost()), zap.String("service", s.GetSidecar().GetService()),
 		zap.Uint64("process", c.process), zap.String("callers", s.GetListen().GetCallers()), zap.String("backend", s.GetSidecar().GetBackend()))
 	<-ctx.Done()
-	c.stop(servers, listeners)
+	c.stop(servers, listeners, abort)
 	cancel()
 	c.wg.Wait()
 	c.log.Info("stopped", zap.Int64("requests_in_progress", c.handler.InProgress()))
@@ -173,7 +179,8 @@
 
 // stop drains the sidecar and closes the listeners. The receiver refuses new requests; clients are served until minDrainTime is over
 // and no request is in progress, or the grace time ends. A request that arrives later, on a connection that was accepted before, is refused.
-func (c *Sidecar) stop(servers []*http.Server, l *listeners) {
+// Requests that are still in progress then are aborted before the process ends, so that their senders and clients get a response.
+func (c *Sidecar) stop(servers []*http.Server, l *listeners, abort context.CancelCauseFunc) {
 	began := c.now()
 	until := began.Add(micros(c.settings.Load().GetBounds().GetGraceUs()) - shutdownMargin)
 	c.endsAt.Store(&until)
@@ -187,6 +194,7 @@
 	_ = l.callers.Close()
 	_ = l.peers.Close()
 	c.awaitIdle(drainedAt, until)
+	abort(jaypitch.ErrStopping)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin/2)
 	defer cancel()
 	for _, s := range servers {
@@ -281,6 +289,7 @@
 
 // localState returns the state of this process that the handler needs for each request.
 func (c *Sidecar) localState() outbound.LocalState {
+	c.reloader.refresh()
 	o := outbound.LocalState{Service: c.settings.Load().GetSidecar().GetService(), Stopping: c.stopping.Load(), Unconfirmed: c.unconfirmed() || c.replica.Revision() == 0}
 	if at := c.endsAt.Load(); at != nil {
 		o.EndsAt = *at
