--- a/cmd/jaypitchd/cold_test.go
+++ b/cmd/jaypitchd/cold_test.go
@@ -45,7 +45,7 @@
 func testRestartUnderLoad(t *testing.T, network int, sidecarsToo bool) {
 	is := is.New(t)
 	const allowed, cold, slots = 26, 2 * time.Second, 8
-	m := newMesh(t, network, slots, 10*time.Millisecond, "[bounds]\ncold_overage = 1.5\ncold_slack = 8\n")
+	m := newMesh(t, network, slots, 10*time.Millisecond, "[cold]\noverage = 1.5\nslack = 8\n")
 	for i := range m.Hosts {
 		m.Hosts[i].Server.ServeHealth("/health", 0)
 		m.RegisterServerIn(i, slots, "east")
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -113,10 +113,10 @@
 		problems = append(problems, ini.Problem{Code: jaypitch.CodeOutOfRange, File: file, Section: "bounds", Key: "retry_ratio",
 			Reason: fmt.Sprintf("%q is not a number from 0 to 1", s.GetBounds().GetRetryRatio())})
 	}
-	for key, text := range map[string]string{"cold_overage": s.GetBounds().GetColdOverage(), "cold_slack": s.GetBounds().GetColdSlack()} {
-		least := map[string]float64{"cold_overage": 1}[key]
+	for key, text := range map[string]string{"overage": s.GetCold().GetOverage(), "slack": s.GetCold().GetSlack()} {
+		least := map[string]float64{"overage": 1}[key]
 		if n, err := strconv.ParseFloat(text, 64); err != nil || !(n >= least && n <= maxColdBound) {
-			problems = append(problems, ini.Problem{Code: jaypitch.CodeOutOfRange, File: file, Section: "bounds", Key: key,
+			problems = append(problems, ini.Problem{Code: jaypitch.CodeOutOfRange, File: file, Section: "cold", Key: key,
 				Reason: fmt.Sprintf("%q is not a number from %g to %g", text, least, maxColdBound)})
 		}
 	}
--- a/settings/sidecar_test.go
+++ b/settings/sidecar_test.go
@@ -13,11 +13,11 @@
 	const rest = "[listen]\ncallers = 127.0.0.1:2\npeers = 127.0.0.1:3\nready = 127.0.0.1:4\nmetrics = 127.0.0.1:5\n[store]\naddress = 127.0.0.1:6\n"
 	for name, c := range map[string]struct{ sidecar, bounds, problem string }{
 		"none of them":           {"", "", ""},
-		"today's":                {"region = a\nregions = d:a, e:b\n", "[bounds]\ncold_overage = 1.5\ncold_slack = 8\n", ""},
-		"an overage below 1":     {"", "[bounds]\ncold_overage = 0.5\n", "cold_overage"},
-		"an overage without end": {"", "[bounds]\ncold_overage = inf\n", "cold_overage"},
-		"a slack below 0":        {"", "[bounds]\ncold_slack = -1\n", "cold_slack"},
-		"a slack in words":       {"", "[bounds]\ncold_slack = some\n", "cold_slack"},
+		"today's":                {"region = a\nregions = d:a, e:b\n", "[cold]\noverage = 1.5\nslack = 8\n", ""},
+		"an overage below 1":     {"", "[cold]\noverage = 0.5\n", "overage"},
+		"an overage without end": {"", "[cold]\noverage = inf\n", "overage"},
+		"a slack below 0":        {"", "[cold]\nslack = -1\n", "slack"},
+		"a slack in words":       {"", "[cold]\nslack = some\n", "slack"},
 		"a region without name":  {"regions = d:\n", "", "regions"},
 		"a region alone":         {"regions = a\n", "", "regions"},
 	} {
--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -17,18 +17,18 @@
 
 // coldBounds returns the factor and the number by which the requests of one second may exceed a server's cold rate. Package settings checks their range.
 func (c *Sidecar) coldBounds() (overage, slack float64) {
-	overage, slack, err := parseColdBounds(c.settings.Load().GetBounds())
+	overage, slack, err := parseColdBounds(c.settings.Load().GetCold())
 	if err != nil {
 		return 1, 0 // no excess
 	}
 	return overage, slack
 }
 
-func parseColdBounds(b *schema.BoundsSection) (overage, slack float64, err error) {
-	if overage, err = strconv.ParseFloat(b.GetColdOverage(), 64); err != nil {
+func parseColdBounds(s *schema.ColdSection) (overage, slack float64, err error) {
+	if overage, err = strconv.ParseFloat(s.GetOverage(), 64); err != nil {
 		return 0, 0, eris.Wrap(err, "parsing the cold overage")
 	}
-	if slack, err = strconv.ParseFloat(b.GetColdSlack(), 64); err != nil {
+	if slack, err = strconv.ParseFloat(s.GetSlack(), 64); err != nil {
 		return 0, 0, eris.Wrap(err, "parsing the cold slack")
 	}
 	return overage, slack, nil
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "parsing the retry ratio")
 	}
-	if _, _, err := parseColdBounds(s.GetBounds()); err != nil {
+	if _, _, err := parseColdBounds(s.GetCold()); err != nil {
 		return nil, err
 	}
 	if err := c.setLink(s); err != nil {
