Keep the pace of a cold server when requests name another server

Slots.Reset, which runs when a request names another server than the one before, discarded the count of recent starts at the cold server. Senders whose replicas differ name the server before and the present one by turns, as they do right after all hosts have started again, and each turn allowed another burst. Reset keeps the pace now.

--- a/admit/slots.go
+++ b/admit/slots.go
@@ -92,10 +92,11 @@
 	s.size = max(1, size)
 }
 
-// Reset discards the measured service times and the rate limit, for a new server at the same address.
+// Reset discards the measured service times and the rate limit, for a new server at the same address. The pace of a cold server stays: requests that
+// name different servers may reach the same one.
 func (s *Slots) Reset() {
 	s.rules, s.meanServiceUS = map[string]*ruleStats{}, slotsInitialMeanUS
-	s.pacer = pacers{}
+	s.pacer.Clear()
 }
 
 // SetLimit sets the rate limit that the server names, in requests per second.
--- a/inbound/cold_test.go
+++ b/inbound/cold_test.go
@@ -180,6 +180,18 @@
 		g.restart()
 		is.Equal(g.serve().Code, jaypitch.CodeOK)
 	})
+	t.Run("senders that name the server before, whose entry is still there", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, coldRate, coldTime)
+		g.setServer(&schema.MeshServer{Id: "i-0", Service: "x", Address: g.server.Address(), Slots: 4, Revision: 1})
+		for until := g.now().Add(2 * time.Second); g.now().Before(until); g.advance(arrivalEvery) {
+			g.serve()
+			f := newRequest("before", "")
+			f.ServerID, f.Deadline = "i-0", g.now().Add(shortTimeLimit)
+			g.receiver.Serve(context.Background(), f)
+		}
+		is.True(len(g.arrivals) >= 20 && g.mostInSecond() <= coldAllowed)
+	})
 	t.Run("other settings apply at once", func(t *testing.T) {
 		is := is.New(t)
 		g := newColdFixture(t, coldRate, coldTime)
