Take a server as restarted if it answers a request sent between two failures

A response to a request that was sent before the latest failed connection counted as proof that the server's process lives on. The request may have been sent between two failures, to the new process. Then the server counted as warm until it answered a question, which may take a second. Only a request from before the first failure proves it now. The new case of TestColdServerTakenForWarm counted as warm before.

--- a/admit/cold.go
+++ b/admit/cold.go
@@ -27,8 +27,9 @@
 	// lost is true from connection failures until the next response. The server counts as cold without end then: its cold time begins when it
 	// starts again.
 	lost bool
-	// failures counts the connections that ended without an answer since the last response.
+	// failures counts the connections that ended without an answer since the last response, failedAt is when the first of them did.
 	failures int
+	failedAt time.Time
 	// doubtedAt is when something last suggested that the server became cold. What the server said before that counts no more.
 	doubtedAt time.Time
 	// wantsProbe is true if the server is to be asked how long it stays cold, at nextProbeAt or later.
@@ -115,6 +116,9 @@
 // ObserveFailure records that a connection to the server failed without an answer. Refused is true if none could be established: then no
 // process listens at the address.
 func (c *ColdState) ObserveFailure(refused bool, now time.Time) {
+	if c.failures == 0 {
+		c.failedAt = now
+	}
 	c.failures++
 	c.doubtedAt, c.wantsProbe = now, true
 	if refused || c.failures >= lostFailures {
@@ -122,14 +126,14 @@
 	}
 }
 
-// ObserveResponse records a response to a request that was sent at a time. The cold time of a server that was lost begins with it at the latest.
+// ObserveResponse records a response to a request that was sent at a time. The cold time of a server that was lost begins with it at the latest, unless
+// the request was sent before the first failure: then the process lives on.
 func (c *ColdState) ObserveResponse(sentAt, now time.Time) {
-	sentBefore := sentAt.Before(c.doubtedAt)
-	if sentBefore && now.Sub(c.doubtedAt) < survivalTime {
+	if sentAt.Before(c.doubtedAt) && now.Sub(c.doubtedAt) < survivalTime {
 		return
 	}
 	c.failures = 0
-	if c.lost && !sentBefore {
+	if c.lost && !sentAt.Before(c.failedAt) {
 		c.doubt(now)
 	}
 	c.lost = false
--- a/admit/cold_test.go
+++ b/admit/cold_test.go
@@ -63,6 +63,7 @@
 		"one connection closed":                           {true, []coldStep{{0, written("a", 1, 0), 0}, {time.Second, closed, 0}, {2 * time.Second, responded, 0}, {3 * time.Second, closed, 0}}},
 		"two in a row":                                    {true, []coldStep{{0, written("a", 1, 0), 0}, {time.Second, closed, 0}, {1010 * ms, closed, forever}}},
 		"two in a row, and an earlier request lives on":   {true, []coldStep{{0, written("a", 1, 0), 0}, {time.Second, closed, 0}, {1010 * ms, closed, forever}, {1080 * ms, respondedTo(200 * ms), 0}}},
+		"refused, and answered between two failures":      {true, []coldStep{{0, written("a", 1, 0), 0}, {time.Second, refused, forever}, {1200 * ms, refused, forever}, {1300 * ms, respondedTo(150 * ms), 3000 * ms}}},
 		"two in a row, and a response from before":        {true, []coldStep{{0, written("a", 1, 0), 0}, {time.Second, closed, 0}, {1010 * ms, closed, forever}, {1011 * ms, respondedTo(200 * ms), forever}}},
 		"its word from before the failure":                {false, []coldStep{{0, refused, forever}, {10 * ms, says(0, 20*ms), forever}}},
 		"a longer time from before the failure":           {true, []coldStep{{0, closed, 0}, {10 * ms, says(2000*ms, 20*ms), 2000 * ms}}},
