Ask a server whose entry arrived before the configuration

The first entry makes a server with limits count as cold until it answers a question. An entry that arrived before the configuration did so without limits, and the same entry counted for nothing once these came: a server that had just started counted as warm. The receiver doubts and asks now when limits appear for the first time.

--- a/inbound/cold.go
+++ b/inbound/cold.go
@@ -124,12 +124,17 @@
 	r.startQueued()
 }
 
-// setColdLimits takes over the limits of the server's service.
+// setColdLimits takes over the limits of the server's service. Once there is a limit for the first time, the server is asked: what its entry told before
+// may be from before a restart.
 func (r *Receiver) setColdLimits(l *schema.MeshServiceLimits) {
 	r.cold.path = l.GetHealthPath()
 	c := &r.cold.limits
+	before := c.Rate
 	c.Time, c.Rate, c.CanAsk = time.Duration(l.GetColdUs())*time.Microsecond, l.GetColdRate(), r.cold.Decode != nil && r.cold.path != ""
 	r.cold.state.SetLimits(r.cold.limits)
+	if before == 0 && c.Rate > 0 && c.CanAsk {
+		r.cold.state.Doubt(r.now())
+	}
 }
 
 // applyCold makes the slots keep to the pace of a cold server, as long as the server counts as cold. The caller holds the lock.
--- a/inbound/cold_test.go
+++ b/inbound/cold_test.go
@@ -39,12 +39,17 @@
 	t.Helper()
 	g := &coldFixture{fixture: newFixture(t, 4), clock: testStart, slack: coldSlack}
 	g.server.ServeHealth(healthPath, cold)
-	g.replica.Merge(jaypitch.MeshUpdate{Config: &schema.MeshConfig{Version: 1, Services: []string{"x"},
-		ServiceLimits: []*schema.MeshServiceLimits{{Service: "x", ColdUs: coldTime.Microseconds(), ColdRate: rate, HealthPath: healthPath}}}}, testStart)
+	g.replica.Merge(jaypitch.MeshUpdate{Config: coldConfig(1, rate)}, testStart)
 	g.restart()
 	return g
 }
 
+// coldConfig returns a configuration whose service has a limit for cold servers.
+func coldConfig(version int64, rate float64) *schema.MeshConfig {
+	return &schema.MeshConfig{Version: version, Services: []string{"x"},
+		ServiceLimits: []*schema.MeshServiceLimits{{Service: "x", ColdUs: coldTime.Microseconds(), ColdRate: rate, HealthPath: healthPath}}}
+}
+
 // restart replaces the receiver by one that knows nothing of before.
 func (g *coldFixture) restart() {
 	g.receiver = NewReceiver(g.server.Address(), platform.HeaderNames, g.replica, func() time.Duration { return 0 }, http1.NewPool(time.Now), g.now,
@@ -192,6 +197,18 @@
 		}
 		is.True(len(g.arrivals) >= 20 && g.mostInSecond() <= coldAllowed)
 	})
+	t.Run("a configuration that arrives after the entry", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, coldRate, coldTime)
+		g.replica = mesh.NewReplica()
+		g.setServer(&schema.MeshServer{Id: "i-1", Service: "x", Address: g.server.Address(), Slots: 4, Revision: 2})
+		g.restart()
+		g.replica.Merge(jaypitch.MeshUpdate{Config: coldConfig(1, coldRate)}, testStart)
+		g.receiver.ObserveTable()
+		g.awaitProbe()
+		g.serveFor(2 * time.Second)
+		is.True(len(g.arrivals) >= 20 && g.mostInSecond() <= coldAllowed)
+	})
 	t.Run("other settings apply at once", func(t *testing.T) {
 		is := is.New(t)
 		g := newColdFixture(t, coldRate, coldTime)
