Don't wake for a queued request that waits for a reserved slot

While the server has a rate limit or is cold, NextStart returned the present time for a queue whose requests the limit allows to start, but the slots reserved for more urgent ones don't. The receiver's timer then went off at once, again and again, until a slot was released. NextStart returns zero if no queued request may start; the release of a slot starts them. The new test got the present time before.

--- a/admit/cold_test.go
+++ b/admit/cold_test.go
@@ -175,3 +175,27 @@
 		})
 	}
 }
+
+// TestReservedSlotKeepsTimerBusy guards against a timer that goes off again and again for a queued request that the pace allows to start, but the slots that
+// are reserved for more urgent ones don't.
+func TestReservedSlotKeepsTimerBusy(t *testing.T) {
+	is := is.New(t)
+	s := NewSlots(4, neverRefuse)
+	s.SetCold(ColdLimits{Time: time.Minute, Rate: 1000, Overage: 1, Slack: 100}, slotsStart.Add(time.Minute))
+	now := slotsStart
+	for range 40 {
+		urgent := slotRequest("charge", 0, now, 300*ms, time.Second)
+		started, _ := s.Admit(urgent, now)
+		is.True(started)
+		now = now.Add(50 * ms)
+		s.Finish(urgent, 100*ms)
+	}
+	s.rules["statement"] = &ruleStats{rank: 1, meanServiceUS: float64(time.Second / time.Microsecond)}
+	for started := true; started; {
+		started, _ = s.Admit(slotRequest("statement", 1, now, 3*time.Second, 9*time.Second), now)
+	}
+	is.True(s.InProgress() < 4 && s.Queued() == 1)
+	start, _ := s.Next(now)
+	is.Equal(len(start), 0)
+	is.True(s.NextStart(now).IsZero())
+}
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -119,9 +119,9 @@
 	return s.pacer.Wait(len(s.queue)+1, now)
 }
 
-// NextStart returns when the rate limit allows the next queued request to start; zero if none is queued, or if it waits for a slot.
+// NextStart returns when the rate limit allows the next queued request to start; zero if none is queued, or if all wait for a slot.
 func (s *Slots) NextStart(now time.Time) time.Time {
-	if !s.pacer.limitedAt(now) || len(s.queue) == 0 || len(s.inProgress) >= s.size {
+	if !s.pacer.limitedAt(now) || len(s.inProgress) >= s.size || s.nextIndex(now) < 0 {
 		return time.Time{}
 	}
 	return now.Add(s.pacer.Wait(1, now))
