Bound the requests that wait at a cold server which doesn't answer

The pace bounds when requests start. If the server's process accepts no connections yet, or is paused, they wait in the kernel and reach it together with those that start then: in the new test 26 waited after two seconds, and 14 more may start in the next one, with 26 allowed. Once as many requests as the pace allows in a second have got no answer, one a second starts until the server answers or a connection fails; now 12 wait. The simulated servers of two tests say that they answer.

--- a/admit/cold.go
+++ b/admit/cold.go
@@ -60,6 +60,9 @@
 	// survivalTime is how long after a failed connection a response to an earlier request proves that the server's process lives on: a process that
 	// ends closes all its connections at once.
 	survivalTime = 50 * time.Millisecond
+	// unansweredInterval is the least time between two requests to a cold server that has answered none of those of a second. They may all wait for a
+	// process that doesn't read yet, and reach it together with those that start then.
+	unansweredInterval = time.Second
 	// minColdRate bounds the time between two requests to a cold server, in requests per second.
 	minColdRate = 0.01
 )
@@ -196,6 +199,9 @@
 	// until is when the limit ends; zero if there is none now.
 	until  time.Time
 	nextAt time.Time
+	// unanswered counts the requests that started since the server last answered one, startedAt is when the latest did.
+	unanswered, maxUnanswered int
+	startedAt                 time.Time
 }
 
 // pacers holds the limits of a server: the one that it names, and the one while it is cold. The stricter of both holds.
@@ -212,6 +218,7 @@
 	}
 	interval, burst := l.pace()
 	p.interval, p.tolerance, p.until = interval, time.Duration(burst-1)*interval, until
+	p.maxUnanswered = max(1, int(time.Second/interval))
 }
 
 // wait is like Pacer.Wait.
@@ -220,6 +227,9 @@
 		return 0
 	}
 	at := later(p.nextAt, now).Add(time.Duration(requests-1)*p.interval - p.tolerance)
+	if p.unanswered >= p.maxUnanswered {
+		at = later(at, p.startedAt.Add(unansweredInterval))
+	}
 	return max(0, min(at.Sub(now), p.until.Sub(now)))
 }
 
@@ -227,6 +237,7 @@
 	if p.interval == 0 {
 		return
 	}
+	p.unanswered, p.startedAt = p.unanswered+1, now
 	p.nextAt = later(p.nextAt, now).Add(p.interval)
 	if latest := now.Add(p.tolerance + coldDebt); p.nextAt.After(latest) {
 		p.nextAt = latest
@@ -278,6 +289,11 @@
 	s.pacer.cold.set(l, until)
 }
 
+// ObserveAnswer records that no request waits unread at the server: it has answered one, or a connection to it failed.
+func (s *Slots) ObserveAnswer() {
+	s.pacer.cold.unanswered = 0
+}
+
 // RateLimit returns the requests per second that the server takes by its own limit or while it is cold, whichever is stricter, and whether there
 // is a limit.
 func (s *Slots) RateLimit(now time.Time) (perSecond float64, limited bool) {
--- a/admit/cold_test.go
+++ b/admit/cold_test.go
@@ -140,6 +140,7 @@
 				w := slotRequest("a", 1, now, 5*time.Second, 10*time.Second)
 				if started, _ := s.Admit(w, now); started {
 					starts = append(starts, now)
+					s.ObserveAnswer()
 					s.Finish(w, 0)
 				} else {
 					s.Cancel(w)
--- a/inbound/cold.go
+++ b/inbound/cold.go
@@ -155,6 +155,7 @@
 	var e *http1.Error
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.slots.ObserveAnswer()
 	r.cold.state.ObserveFailure(errors.As(err, &e) && !e.Sent, r.now())
 	r.applyCold()
 }
@@ -163,6 +164,7 @@
 func (r *Receiver) observeResponse(h http.Header, sentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.slots.ObserveAnswer()
 	r.cold.state.ObserveResponse(sentAt, r.now())
 	if r.cold.Decode != nil {
 		if cold, ok := r.cold.Decode(h); ok {
--- a/inbound/cold_test.go
+++ b/inbound/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -243,6 +244,32 @@
 	})
 }
 
+// TestRequestsPileUp guards against requests that wait at a cold server which doesn't read yet, and reach it together once it does.
+func TestRequestsPileUp(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	g := newColdFixture(t, coldRate, coldTime)
+	address := l.Addr().String()
+	g.setServer(&schema.MeshServer{Id: "i-2", Service: "x", Address: address, Slots: 12, Revision: 3})
+	g.receiver = NewReceiver(address, platform.HeaderNames, g.replica, func() time.Duration { return 0 }, http1.NewPool(time.Now), g.now,
+		func(*jaypitch.MeshRequest, *jaypitch.MeshResponse, time.Duration) {},
+		WithCold(ColdOptions{Bounds: func() (float64, float64) { return coldOverage, coldSlack }, Service: "x"}))
+	g.receiver.ObserveTable()
+	g.receiver.DoubtCold()
+	sent := 0
+	for until := g.now().Add(2 * time.Second); g.now().Before(until); g.advance(arrivalEvery) {
+		f := newRequest("one", "")
+		f.ServerID, f.Deadline, f.TargetDeadline = "i-2", g.now().Add(shortTimeLimit), g.now().Add(shortTimeLimit)
+		if r := g.receiver.Serve(context.Background(), f); r.Execution != jaypitch.NotExecuted {
+			sent++
+		}
+	}
+	// 14 requests may start in a second.
+	is.True(sent >= 4 && sent+14 <= coldAllowed)
+}
+
 // TestColdServerIsReported guards against senders that don't know that a server takes few requests.
 func TestColdServerIsReported(t *testing.T) {
 	is := is.New(t)
--- a/route/cold_load_test.go
+++ b/route/cold_load_test.go
@@ -208,6 +208,7 @@
 		took *= 2
 	}
 	r.at(r.now.Add(took), func() {
+		s.slots.ObserveAnswer()
 		s.slots.Finish(w, took)
 		r.respond(s, w, &jaypitch.MeshResponse{Execution: jaypitch.Executed, Status: 200, Arrived: true, ServiceTime: took})
 		r.startQueued(s)
