Ask a server whose connection ends within a response

A connection that ended within a response's body didn't count as a sign of a restart, though that is how a server whose requests are mostly in their body, as with downloads, ends. It counts like one that ends without an answer now. In the new test the server was not asked; now it is asked once, for a buffered and for a streamed response.

--- a/inbound/cold_test.go
+++ b/inbound/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -210,6 +211,24 @@
 		g.serveFor(2 * time.Second)
 		is.True(len(g.arrivals) >= 20 && g.mostInSecond() <= coldAllowed)
 	})
+	t.Run("a server whose connections end within its responses", func(t *testing.T) {
+		for _, bytes := range []int{0, 100_000} {
+			is := is.New(t)
+			g := newColdFixture(t, coldRate, 0)
+			g.server.SetBehaviour(standin.Truncated)
+			g.advance(2 * time.Second)
+			f := newDownload("one", bytes)
+			f.Deadline, f.Local = g.now().Add(time.Minute), true
+			if r := g.receiver.Serve(context.Background(), f); r.Stream != nil {
+				_, err := io.Copy(io.Discard, r.Stream)
+				is.True(err != nil)
+				is.NoErr(r.Stream.Close())
+			}
+			assertSlotFree(t, g.fixture)
+			g.awaitProbe()
+			is.Equal(g.server.HealthRequests(), 2)
+		}
+	})
 	t.Run("other settings apply at once", func(t *testing.T) {
 		is := is.New(t)
 		g := newColdFixture(t, coldRate, coldTime)
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -286,13 +286,14 @@
 	r.observeResponse(a.Header, started)
 	r.observeNotice(f, a.Header, response, server)
 	if response.Execution == jaypitch.Executed && f.StreamsResponse(a.StatusCode, a.ContentLength) {
-		r.stream(w, a, response, started, cancel)
+		r.stream(ctx, w, a, response, started, cancel)
 		return response
 	}
 	if response.Execution == jaypitch.Executed {
 		body, more, err := readBody(a)
 		response.Body = body
 		if err != nil {
+			r.observeFailure(ctx, err)
 			response = jaypitch.ExecutionUnknownResponse(jaypitch.CodeSpoiled, "the response was truncated: %s", err)
 		} else if more {
 			response.Stream = &stream{ReadCloser: a.Body, release: func() {
--- a/inbound/transfer.go
+++ b/inbound/transfer.go
@@ -27,7 +27,8 @@
 	started  time.Time
 	status   int
 	source   io.ReadCloser
-	// cancel ends the request at the server.
+	// ctx is that of the request at the server, cancel ends it.
+	ctx    context.Context
 	cancel context.CancelFunc
 
 	mu      sync.Mutex
@@ -120,11 +121,11 @@
 }
 
 // stream makes the server's response the stream of a response. The slot is released once the server has sent all of it.
-func (r *Receiver) stream(w *admit.SlotRequest, a *http.Response, response *jaypitch.MeshResponse, started time.Time, cancel context.CancelFunc) {
+func (r *Receiver) stream(ctx context.Context, w *admit.SlotRequest, a *http.Response, response *jaypitch.MeshResponse, started time.Time, cancel context.CancelFunc) {
 	response.ServiceTime = r.now().Sub(started)
 	response.Length, response.Download = max(0, a.ContentLength), true
 	r.streams.Add(1)
-	d := &download{receiver: r, request: w, started: started, status: a.StatusCode, source: a.Body, cancel: cancel, buffer: downloadBuffers.Get().(*[heldBytes]byte)}
+	d := &download{receiver: r, request: w, started: started, status: a.StatusCode, source: a.Body, ctx: ctx, cancel: cancel, buffer: downloadBuffers.Get().(*[heldBytes]byte)}
 	d.changed.L = &d.mu
 	response.Stream = d
 	go d.run()
@@ -134,6 +135,9 @@
 func (d *download) run() {
 	r := d.receiver
 	err := d.readAll()
+	if err != io.EOF && err != errClosed {
+		r.observeFailure(d.ctx, err)
+	}
 	_ = d.source.Close()
 	d.cancel()
 	r.streams.Add(-1)
