--- a/admit/cold_test.go
+++ b/admit/cold_test.go
@@ -63,6 +63,7 @@
 		"one connection closed":                           {true, []coldStep{{0, written("a", 1, 0), 0}, {time.Second, closed, 0}, {2 * time.Second, responded, 0}, {3 * time.Second, closed, 0}}},
 		"two in a row":                                    {true, []coldStep{{0, written("a", 1, 0), 0}, {time.Second, closed, 0}, {1010 * ms, closed, forever}}},
 		"two in a row, and an earlier request lives on":   {true, []coldStep{{0, written("a", 1, 0), 0}, {time.Second, closed, 0}, {1010 * ms, closed, forever}, {1080 * ms, respondedTo(200 * ms), 0}}},
+		"refused, and answered between two failures":      {true, []coldStep{{0, written("a", 1, 0), 0}, {time.Second, refused, forever}, {1200 * ms, refused, forever}, {1300 * ms, respondedTo(150 * ms), 3000 * ms}}},
 		"two in a row, and a response from before":        {true, []coldStep{{0, written("a", 1, 0), 0}, {time.Second, closed, 0}, {1010 * ms, closed, forever}, {1011 * ms, respondedTo(200 * ms), forever}}},
 		"its word from before the failure":                {false, []coldStep{{0, refused, forever}, {10 * ms, says(0, 20*ms), forever}}},
 		"a longer time from before the failure":           {true, []coldStep{{0, closed, 0}, {10 * ms, says(2000*ms, 20*ms), 2000 * ms}}},
@@ -139,6 +140,7 @@
 				w := slotRequest("a", 1, now, 5*time.Second, 10*time.Second)
 				if started, _ := s.Admit(w, now); started {
 					starts = append(starts, now)
+					s.ObserveAnswer()
 					s.Finish(w, 0)
 				} else {
 					s.Cancel(w)
@@ -174,3 +176,27 @@
 		})
 	}
 }
+
+// TestReservedSlotKeepsTimerBusy guards against a timer that goes off again and again for a queued request that the pace allows to start, but the slots that
+// are reserved for more urgent ones don't.
+func TestReservedSlotKeepsTimerBusy(t *testing.T) {
+	is := is.New(t)
+	s := NewSlots(4, neverRefuse)
+	s.SetCold(ColdLimits{Time: time.Minute, Rate: 1000, Overage: 1, Slack: 100}, slotsStart.Add(time.Minute))
+	now := slotsStart
+	for range 40 {
+		urgent := slotRequest("charge", 0, now, 300*ms, time.Second)
+		started, _ := s.Admit(urgent, now)
+		is.True(started)
+		now = now.Add(50 * ms)
+		s.Finish(urgent, 100*ms)
+	}
+	s.rules["statement"] = &ruleStats{rank: 1, meanServiceUS: float64(time.Second / time.Microsecond)}
+	for started := true; started; {
+		started, _ = s.Admit(slotRequest("statement", 1, now, 3*time.Second, 9*time.Second), now)
+	}
+	is.True(s.InProgress() < 4 && s.Queued() == 1)
+	start, _ := s.Next(now)
+	is.Equal(len(start), 0)
+	is.True(s.NextStart(now).IsZero())
+}
--- a/inbound/cold_test.go
+++ b/inbound/cold_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -39,12 +41,17 @@
 	t.Helper()
 	g := &coldFixture{fixture: newFixture(t, 4), clock: testStart, slack: coldSlack}
 	g.server.ServeHealth(healthPath, cold)
-	g.replica.Merge(jaypitch.MeshUpdate{Config: &schema.MeshConfig{Version: 1, Services: []string{"x"},
-		ServiceLimits: []*schema.MeshServiceLimits{{Service: "x", ColdUs: coldTime.Microseconds(), ColdRate: rate, HealthPath: healthPath}}}}, testStart)
+	g.replica.Merge(jaypitch.MeshUpdate{Config: coldConfig(1, rate)}, testStart)
 	g.restart()
 	return g
 }
 
+// coldConfig returns a configuration whose service has a limit for cold servers.
+func coldConfig(version int64, rate float64) *schema.MeshConfig {
+	return &schema.MeshConfig{Version: version, Services: []string{"x"},
+		ServiceLimits: []*schema.MeshServiceLimits{{Service: "x", ColdUs: coldTime.Microseconds(), ColdRate: rate, HealthPath: healthPath}}}
+}
+
 // restart replaces the receiver by one that knows nothing of before.
 func (g *coldFixture) restart() {
 	g.receiver = NewReceiver(g.server.Address(), platform.HeaderNames, g.replica, func() time.Duration { return 0 }, http1.NewPool(time.Now), g.now,
@@ -180,6 +187,48 @@
 		g.restart()
 		is.Equal(g.serve().Code, jaypitch.CodeOK)
 	})
+	t.Run("senders that name the server before, whose entry is still there", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, coldRate, coldTime)
+		g.setServer(&schema.MeshServer{Id: "i-0", Service: "x", Address: g.server.Address(), Slots: 4, Revision: 1})
+		for until := g.now().Add(2 * time.Second); g.now().Before(until); g.advance(arrivalEvery) {
+			g.serve()
+			f := newRequest("before", "")
+			f.ServerID, f.Deadline = "i-0", g.now().Add(shortTimeLimit)
+			g.receiver.Serve(context.Background(), f)
+		}
+		is.True(len(g.arrivals) >= 20 && g.mostInSecond() <= coldAllowed)
+	})
+	t.Run("a configuration that arrives after the entry", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, coldRate, coldTime)
+		g.replica = mesh.NewReplica()
+		g.setServer(&schema.MeshServer{Id: "i-1", Service: "x", Address: g.server.Address(), Slots: 4, Revision: 2})
+		g.restart()
+		g.replica.Merge(jaypitch.MeshUpdate{Config: coldConfig(1, coldRate)}, testStart)
+		g.receiver.ObserveTable()
+		g.awaitProbe()
+		g.serveFor(2 * time.Second)
+		is.True(len(g.arrivals) >= 20 && g.mostInSecond() <= coldAllowed)
+	})
+	t.Run("a server whose connections end within its responses", func(t *testing.T) {
+		for _, bytes := range []int{0, 100_000} {
+			is := is.New(t)
+			g := newColdFixture(t, coldRate, 0)
+			g.server.SetBehaviour(standin.Truncated)
+			g.advance(2 * time.Second)
+			f := newDownload("one", bytes)
+			f.Deadline, f.Local = g.now().Add(time.Minute), true
+			if r := g.receiver.Serve(context.Background(), f); r.Stream != nil {
+				_, err := io.Copy(io.Discard, r.Stream)
+				is.True(err != nil)
+				is.NoErr(r.Stream.Close())
+			}
+			assertSlotFree(t, g.fixture)
+			g.awaitProbe()
+			is.Equal(g.server.HealthRequests(), 2)
+		}
+	})
 	t.Run("other settings apply at once", func(t *testing.T) {
 		is := is.New(t)
 		g := newColdFixture(t, coldRate, coldTime)
@@ -214,6 +263,32 @@
 	})
 }
 
+// TestRequestsPileUp guards against requests that wait at a cold server which doesn't read yet, and reach it together once it does.
+func TestRequestsPileUp(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	g := newColdFixture(t, coldRate, coldTime)
+	address := l.Addr().String()
+	g.setServer(&schema.MeshServer{Id: "i-2", Service: "x", Address: address, Slots: 12, Revision: 3})
+	g.receiver = NewReceiver(address, platform.HeaderNames, g.replica, func() time.Duration { return 0 }, http1.NewPool(time.Now), g.now,
+		func(*jaypitch.MeshRequest, *jaypitch.MeshResponse, time.Duration) {},
+		WithCold(ColdOptions{Bounds: func() (float64, float64) { return coldOverage, coldSlack }, Service: "x"}))
+	g.receiver.ObserveTable()
+	g.receiver.DoubtCold()
+	sent := 0
+	for until := g.now().Add(2 * time.Second); g.now().Before(until); g.advance(arrivalEvery) {
+		f := newRequest("one", "")
+		f.ServerID, f.Deadline, f.TargetDeadline = "i-2", g.now().Add(shortTimeLimit), g.now().Add(shortTimeLimit)
+		if r := g.receiver.Serve(context.Background(), f); r.Execution != jaypitch.NotExecuted {
+			sent++
+		}
+	}
+	// 14 requests may start in a second.
+	is.True(sent >= 4 && sent+14 <= coldAllowed)
+}
+
 // TestColdServerIsReported guards against senders that don't know that a server takes few requests.
 func TestColdServerIsReported(t *testing.T) {
 	is := is.New(t)
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -290,7 +290,7 @@
 	r.observeAnswer(f, a.Header, response)
 	r.observeNotice(f, a.Header, response, server)
 	if response.Execution == jaypitch.Executed && f.StreamsResponse(a.StatusCode, a.ContentLength) {
-		r.stream(w, a, response, started, cancel)
+		r.stream(ctx, w, a, response, started, cancel)
 		return response
 	}
 	if response.Execution == jaypitch.Executed {
@@ -298,6 +298,7 @@
 		body, more, err := readBody(a)
 		response.Body = body
 		if err != nil {
+			r.observeFailure(ctx, err)
 			response = jaypitch.ExecutionUnknownResponse(jaypitch.CodeSpoiled, "the response was truncated: %s", err)
 		} else if more {
 			response.Stream = a.Body
