A hedge no longer breaks off the stream of a first attempt that has ended

Cause: a hedge that succeeded cancelled the first attempt also after that had returned its stream, whose context then ended while the client got it. Found by TestHedgeOfDownload: 'context canceled' when both end at the same time.

A hedge cancels the first attempt only while that is in progress. An attempt that returns a stream although it was cancelled is discarded for the hedge's response.

Measured: TestHedgeOfDownload, 5 cases 200 times each in virtual time, fails before and passes after; the other tests of outbound pass unchanged with the race detector.

--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -202,6 +202,11 @@
 		d.finish(v, a.rule, r)
 	} else {
 		d.cancel(v)
+		if r.Stream != nil {
+			// Its context has ended, so that it breaks off. The hedge has a response.
+			r.Discard()
+			r = jaypitch.ExecutionUnknownResponse(jaypitch.CodeCallerGone, "%s", jaypitch.ErrSuperseded)
+		}
 	}
 	a.sent++
 	d.record(f, r, a.sent)
--- a/outbound/hedge.go
+++ b/outbound/hedge.go
@@ -17,6 +17,8 @@
 	request  *jaypitch.MeshRequest
 	// hedge is the second attempt; nil if none was started.
 	hedge *hedge
+	// ended is true once the attempt has ended, so that the hedge can't cancel it any more. The dispatcher's lock guards it.
+	ended bool
 }
 
 // hedge is a second attempt beside one whose sidecar is unresponsive. The first continues, since its server may be executing the request.
@@ -44,6 +46,7 @@
 func (d *Dispatcher) unregister(id string, u *hedgeable) *hedge {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	u.ended = true
 	delete(d.hedgeable[id], u)
 	if len(d.hedgeable[id]) == 0 {
 		delete(d.hedgeable, id)
@@ -80,7 +83,16 @@
 	d.finish(pick.Server, h.attempts.rule, h.response)
 	d.record(out, h.response, h.attempts.sent+1)
 	if succeeded(h.response) {
-		h.first.cancel(jaypitch.ErrSuperseded)
+		d.supersede(h.first)
+	}
+}
+
+// supersede cancels an attempt, unless it has ended: its response may be a stream that the client gets.
+func (d *Dispatcher) supersede(u *hedgeable) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !u.ended {
+		u.cancel(jaypitch.ErrSuperseded)
 	}
 }
 
--- a/outbound/stream_test.go
+++ b/outbound/stream_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -62,3 +64,84 @@
 	is.True(r.RetryAfter > 0)
 	is.Equal(h.attempts, 0)
 }
+
+// contextStream is a stream that breaks off when the context of its attempt ends.
+type contextStream struct {
+	ctx    context.Context
+	closed *atomic.Int64
+	read   bool
+}
+
+func (s *contextStream) Read(p []byte) (int, error) {
+	if err := s.ctx.Err(); err != nil {
+		return 0, err
+	}
+	if s.read {
+		return 0, io.EOF
+	}
+	s.read = true
+	return copy(p, "rest"), nil
+}
+
+func (s *contextStream) Close() error {
+	s.closed.Add(1)
+	return nil
+}
+
+// streamingForwarder responds to each attempt with a stream, after the time for its number.
+type streamingForwarder struct {
+	after          []time.Duration
+	started        chan string
+	opened, closed atomic.Int64
+	attempts       atomic.Int64
+}
+
+func (h *streamingForwarder) Forward(ctx context.Context, _ string, f *jaypitch.MeshRequest) *jaypitch.MeshResponse {
+	n := h.attempts.Add(1)
+	h.started <- f.ServerID
+	select {
+	case <-time.After(h.after[n-1]):
+	case <-ctx.Done():
+		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeCallerGone, "the attempt was canceled")
+	}
+	h.opened.Add(1)
+	return &jaypitch.MeshResponse{Execution: jaypitch.Executed, Arrived: true, Status: 200, Stream: &contextStream{ctx: ctx, closed: &h.closed}, Download: true,
+		LoadReport: jaypitch.MeshLoadReport{Slots: 10}}
+}
+
+// TestHedgeOfDownload guards against a download that breaks off because its hedge ends at about the same time, and against streams that nobody closes.
+func TestHedgeOfDownload(t *testing.T) {
+	for name, after := range map[string][]time.Duration{
+		"the hedge ends first":            {time.Hour, time.Second},
+		"the first attempt ends first":    {2 * time.Second, time.Hour},
+		"both end at the same time":       {2 * time.Second, time.Second},
+		"the hedge ends a little later":   {2 * time.Second, time.Second + time.Nanosecond},
+		"the hedge ends a little earlier": {2 * time.Second, time.Second - time.Nanosecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 200 {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					h := &streamingForwarder{after: after, started: make(chan string, 2)}
+					s := twoServers(true, 2)
+					d := NewDispatcher("10.0.0.9:1", func(server string) string { return server }, s, h, nil, route.NewMeshPicker("here", func() float64 { return 0 }),
+						route.NewMeshRetryBudget(0, 1000, 10*time.Second), time.Now, func(*jaypitch.MeshRequest, *jaypitch.MeshResponse, int) {})
+					f := &jaypitch.MeshRequest{ID: "one", Idempotent: true, Download: true, Deadline: time.Now().Add(2 * time.Hour), TargetDeadline: time.Now().Add(time.Second)}
+					done := make(chan *jaypitch.MeshResponse)
+					go func() { done <- d.Do(context.Background(), f, s.Table().Match("h", "/"), "x") }()
+					first := <-h.started
+					time.Sleep(time.Second)
+					is.True(d.RecordProbe(first, false))
+					r := <-done
+					synctest.Wait()
+					body, err := io.ReadAll(r.Stream)
+					is.NoErr(err)
+					is.Equal(string(body), "rest")
+					is.NoErr(r.Stream.Close())
+					synctest.Wait()
+					is.Equal(h.closed.Load(), h.opened.Load())
+				})
+			}
+		})
+	}
+}
