Pass on the head of a download with its first bytes

Cause: a stream that broke off before its first byte closed the client's connection, although nothing had been passed on.

The sender waits for the first bytes of a download before the attempt ends. Until then the request may be tried again, may have a hedge, and its client can get a status.

Measured: TestStreamWithoutFirstByte.

--- a/inbound/transfer.go
+++ b/inbound/transfer.go
@@ -40,12 +40,6 @@
 	err error
 }
 
-// prefixedStream is a stream after the bytes that were read from it before.
-type prefixedStream struct {
-	io.Reader
-	io.Closer
-}
-
 const (
 	// heldBytes is how many bytes are held for a download.
 	heldBytes = 64 << 10
@@ -99,7 +93,7 @@
 		if r.Length > 0 {
 			length = r.Length
 		}
-		r.Stream = prefixedStream{io.MultiReader(bytes.NewReader(r.Body), r.Stream), r.Stream}
+		r.Stream = transfer.WithPrefix(r.Body, r.Stream)
 	} else {
 		r.Stream, r.Length = io.NopCloser(bytes.NewReader(r.Body)), length
 	}
--- a/link/load_test.go
+++ b/link/load_test.go
@@ -37,9 +37,9 @@
 
 // result counts how the requests of a simulation ended.
 type result struct {
-	downloads, downloadsOnTarget, refused int
-	calls, callsLate                      int
-	longestQueue                          time.Duration
+	downloads, downloadsOnTarget, refused, downloadsBroken int
+	calls, callsLate                                       int
+	longestQueue                                           time.Duration
 }
 
 const (
@@ -124,7 +124,9 @@
 	for _, r := range h.responses {
 		if now.After(r.deadline) {
 			h.end(r, false)
-			if !r.download {
+			if r.download {
+				out.downloadsBroken++
+			} else {
 				out.callsLate++
 			}
 			continue
--- a/outbound/links.go
+++ b/outbound/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/schema"
@@ -13,6 +14,9 @@
 	incoming, outgoing *transfer.Gate
 }
 
+// firstBytes is how many bytes of a download are read before its client gets the head.
+const firstBytes = 4 << 10
+
 // WithLink makes the dispatcher schedule the responses from other hosts on the host's link. The gates may be nil.
 func WithLink(incoming, outgoing *transfer.Gate) Option {
 	return func(d *Dispatcher) { d.links = links{incoming: incoming, outgoing: outgoing} }
@@ -34,15 +38,41 @@
 	d.links.outgoing.Charge(len(f.Body) + transfer.HeadBytes)
 	r := d.forwarder.Forward(ctx, d.peerAddress(v.GetAddress()), f)
 	d.links.incoming.Charge(len(r.Body) + transfer.HeadBytes)
-	if t == nil || r.Stream == nil {
+	if r.Stream == nil {
 		t.EndShort(r)
 		return r
 	}
+	if !r.Download {
+		t.End(false)
+		return r
+	}
 	length := int64(-1)
 	if r.Length > 0 {
 		length = r.Length
 	}
 	t.SetLength(length)
 	r.Stream = transfer.NewStream(ctx, r.Stream, t)
-	return r
+	return awaitFirstBytes(ctx, r)
+}
+
+// awaitFirstBytes returns a response with a stream once its first bytes have arrived. Until then the request may be tried again and have a hedge,
+// and its client can get a status.
+func awaitFirstBytes(ctx context.Context, r *jaypitch.MeshResponse) *jaypitch.MeshResponse {
+	first := make([]byte, firstBytes)
+	n, err := r.Stream.Read(first)
+	for n == 0 && err == nil {
+		n, err = r.Stream.Read(first)
+	}
+	if n > 0 || err == io.EOF {
+		r.Stream = transfer.WithPrefix(first[:n], r.Stream)
+		return r
+	}
+	r.Discard()
+	code := jaypitch.CodeAnswerCut
+	if ctx.Err() != nil {
+		code = jaypitch.CodeAnswerTooLate
+	}
+	failed := jaypitch.ExecutionUnknownResponse(code, "the response broke off before its first byte: %s", err)
+	failed.LoadReport = r.LoadReport
+	return failed
 }
--- a/outbound/stream_test.go
+++ b/outbound/stream_test.go
@@ -29,7 +29,7 @@
 }
 
 // download dispatches a download with a forwarder.
-func download(h *contextForwarder, options ...Option) *jaypitch.MeshResponse {
+func download(h jaypitch.Forwarder, options ...Option) *jaypitch.MeshResponse {
 	s := twoServers(true, 2)
 	d := NewDispatcher("10.0.0.9:1", func(server string) string { return server }, s, h, nil, route.NewMeshPicker("here", func() float64 { return 0 }),
 		route.NewMeshRetryBudget(0, 1000, 10*time.Second), time.Now, func(*jaypitch.MeshRequest, *jaypitch.MeshResponse, int) {}, options...)
@@ -65,6 +65,30 @@
 	is.Equal(h.attempts, 0)
 }
 
+// brokenForwarder responds to the first attempt with a stream that has no byte.
+type brokenForwarder struct{ attempts int }
+
+func (h *brokenForwarder) Forward(_ context.Context, _ string, _ *jaypitch.MeshRequest) *jaypitch.MeshResponse {
+	h.attempts++
+	var body io.Reader = strings.NewReader("rest")
+	if h.attempts == 1 {
+		body = &failingReader{}
+	}
+	return &jaypitch.MeshResponse{Execution: jaypitch.Executed, Arrived: true, Status: 200, Stream: io.NopCloser(body), Length: 4, Download: true}
+}
+
+// TestStreamWithoutFirstByte guards against a client that gets a broken response though nothing of it had been passed on.
+func TestStreamWithoutFirstByte(t *testing.T) {
+	is := is.New(t)
+	h := &brokenForwarder{}
+	r := download(h)
+	is.Equal(h.attempts, 2)
+	body, err := io.ReadAll(r.Stream)
+	is.NoErr(err)
+	is.Equal(string(body), "rest")
+	is.NoErr(r.Stream.Close())
+}
+
 // contextStream is a stream that breaks off when the context of its attempt ends.
 type contextStream struct {
 	ctx    context.Context
--- a/transfer/stream.go
+++ b/transfer/stream.go
@@ -1,6 +1,7 @@
 package transfer
 
 import (
+	"bytes"
 	"context"
 	"io"
 
@@ -15,6 +16,12 @@
 	complete bool
 }
 
+// prefixedStream is a stream after the bytes that were read from it before.
+type prefixedStream struct {
+	io.Reader
+	io.Closer
+}
+
 var _ jaypitch.Stream = (*Stream)(nil)
 
 // NewStream returns a stream of a source whose bytes are those of a transfer, which may be nil. Reads fail after ctx has ended.
@@ -22,6 +29,11 @@
 	return &Stream{ctx: ctx, source: source, transfer: t}
 }
 
+// WithPrefix returns a stream that begins with bytes which were read from it before.
+func WithPrefix(prefix []byte, rest jaypitch.Stream) jaypitch.Stream {
+	return prefixedStream{io.MultiReader(bytes.NewReader(prefix), rest), rest}
+}
+
 // Read reads at most ChunkBytes and returns once they may be passed on.
 func (s *Stream) Read(p []byte) (int, error) {
 	n, err := s.source.Read(p[:min(len(p), ChunkBytes)])
