Two random servers of the own data centre are compared, others only when these are full

All senders chose the server with the least cost by reports of up to 2 s, after which a server counted as free: senders that meet a server less than once a second sent to the same one, and to other data centres that were as full as their own. The picker now compares two random servers of its data centre whose costs are alike, and two of others if the first have no free slot or cost twice as much. The weight of a load report falls to 1/e in 0.5 s; the rest is the mean load of the service's servers. Existing tests of the picker are unchanged.

--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -19,6 +19,9 @@
 	random     func() float64
 	servers    map[string]*serverState
 	rules      map[string]*ruleStats
+	// eligible, here and elsewhere are the memory of Pick for the servers that may get a request.
+	eligible        []*schema.MeshServer
+	here, elsewhere []candidate
 }
 
 // serverState is what this sidecar knows of one server and the sidecar beside it.
@@ -163,14 +166,14 @@
 	return &MeshPicker{dataCentre: dataCentre, random: random, servers: map[string]*serverState{}, rules: map[string]*ruleStats{}}
 }
 
-// Pick chooses the server of a service with the lowest cost. It skips excluded servers and those whose retry-after for the rule
+// Pick chooses the server of a service with the lowest cost of those that choose compares. It skips excluded servers and those whose retry-after for the rule
 // hasn't passed. The service may be nil.
 func (c *MeshPicker) Pick(s *mesh.Service, q PickRequest, now time.Time) MeshPick {
 	var p MeshPick
 	if s == nil {
 		return p
 	}
-	best, next := math.Inf(1), math.Inf(1)
+	eligible := c.eligible[:0]
 	for _, v := range c.sample(s.Servers) {
 		if contains(q.Excluded, v.GetId()) {
 			continue
@@ -188,22 +191,19 @@
 			p.skip(wait, limited)
 			continue
 		}
-		cost := c.cost(v, q, now)
-		if cost < best {
-			p.Server, best, next = v, cost, best
-		} else if cost < next {
-			next = cost
-		}
+		eligible = append(eligible, v)
 	}
-	if p.Server == nil {
+	c.eligible = eligible
+	best, next := c.choose(s, eligible, q, now)
+	if p.Server = best.server; p.Server == nil {
 		return p
 	}
 	p.RetryAfter, p.Limited = 0, false
 	limit := c.server(p.Server, now).limit
 	p.LimitHeardAt, p.RateLimit = limit.heardAt, limit.perSecond
 	p.ExpectContinue = q.BodyBytes >= minExpectContinueBytes && p.Server.GetDataCentre() != c.dataCentre && c.server(p.Server, now).requests(now) >= float64(p.Server.GetSlots())
-	if !math.IsInf(next, 1) {
-		p.AlternativeTime = c.alternativeTime(p.Server, q, next-best, now)
+	if next.server != nil {
+		p.AlternativeTime = c.alternativeTime(p.Server, q, next.cost-best.cost, now)
 	}
 	return p
 }
@@ -284,14 +284,14 @@
 }
 
 // cost is the expected time of a request at a server plus the cost of its bytes, in microseconds. It is infinite for a server
-// that can't get requests.
-func (c *MeshPicker) cost(v *schema.MeshServer, q PickRequest, now time.Time) float64 {
+// that can't get requests. MeanLoad is the mean load of the service's servers.
+func (c *MeshPicker) cost(v *schema.MeshServer, meanLoad float64, q PickRequest, now time.Time) float64 {
 	e := c.server(v, now)
 	if e.unreachable || now.Before(e.avoidUntil) {
 		return math.Inf(1)
 	}
 	mean := c.meanAt(e, q.Rule, now)
-	utilisation := (e.requests(now) + 1) / float64(max(1, v.GetSlots()))
+	utilisation := e.load(meanLoad, now) + 1/float64(max(1, v.GetSlots()))
 	cost := mean*(1+busyFactor*utilisation+max(0, utilisation-1)) + e.networkTimeUS + float64(e.limit.wait(now).Microseconds())
 	if t := e.ruleReports[q.Rule]; now.Before(t.until) && t.failing > failingThreshold {
 		cost *= 1 + 10*t.failing
--- a/route/overload_test.go
+++ b/route/overload_test.go
@@ -172,7 +172,7 @@
 	}) {
 		s := &mesh.Service{Name: service}
 		for i := range r.servers[service] {
-			h := &overloadHost{service: service, centre: len(r.hosts) % len(r.oneWay), factor: 1, odd: i%2 == 1, failing: map[string]admit.FailureShare{}, slots: admit.NewSlots(r.deployment.slots, r.random.Float64)}
+			h := &overloadHost{service: service, centre: i % len(r.oneWay), factor: 1, odd: i%2 == 1, failing: map[string]admit.FailureShare{}, slots: admit.NewSlots(r.deployment.slots, r.random.Float64)}
 			if r.speeds {
 				h.factor = 0.6 + float64(i)/float64(r.servers[service]-1)
 			}
@@ -526,7 +526,7 @@
 	call := func(service string) overloadKind {
 		return overloadKind{rule: "call_" + service, service: service, rank: 1, mean: 27 * ms, target: 120 * ms, timeout: 300 * ms}
 	}
-	return deployment{slots: 6, servers: map[string]int{"a": 18, "b": 14, "c": 5}, duration: 17 * time.Second, oneWay: []time.Duration{ms / 10, 4900 * time.Microsecond},
+	return deployment{slots: 6, servers: map[string]int{"a": 18, "b": 14, "c": 6}, duration: 17 * time.Second, oneWay: []time.Duration{ms / 10, 4900 * time.Microsecond},
 		speeds: true, swing: 0.55, period: 17 * time.Second,
 		kinds: []overloadKind{
 			{rule: "a", service: "a", rank: 2, mean: 94 * ms, target: 400 * ms, timeout: 1000 * ms, perSecond: 1054, calls: []string{"call_b"}},
@@ -571,7 +571,13 @@
 	}
 }
 
-func TestUnevenServers(t *testing.T) {
+// TestUnevenServersShareLoad guards against a server that gets over 1.3 times its fair share by speed.
+func TestUnevenServersShareLoad(t *testing.T) {
 	r := replayOverload(unevenServers())
 	r.log(t)
+	for service := range r.services {
+		if got := r.busiest(service); got > 1.3 {
+			t.Errorf("the busiest server of service %s got %.2f times its fair share", service, got)
+		}
+	}
 }
