A host that floods a server is refused before the others of its rank

With a standing queue each request was refused with the same probability, so a host that sent 3.6 times as much as ten others together left them half of theirs. The receiver now keeps the load that each calling host and service asks for at a rank, refused and repeated requests included. For one that asks for more than three times what the others of its rank usually do, the queue counts that many times more.

--- a/admit/load_test.go
+++ b/admit/load_test.go
@@ -18,6 +18,8 @@
 	// call is the rule of the call that a share of the requests make while they run, callShare. A request whose call is refused fails.
 	call      string
 	callShare float64
+	// host is the host that sends the requests.
+	host string
 }
 
 // loadCount is what became of the requests of one kind.
@@ -105,6 +107,7 @@
 
 func (r *loadReplay) arrive(k *loadKind, parent *loadRequest) {
 	q := &loadRequest{kind: k, slot: slotRequest(k.rule, k.rank, r.now, k.target, k.timeout), arrived: r.now, parent: parent}
+	q.slot.CallerHost = k.host
 	r.counts[k.rule].asked++
 	started, e := r.slots[k.service].Admit(q.slot, r.now)
 	switch {
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -15,6 +15,8 @@
 	Rule string
 	// CallerService is the service of the host that sent the request; empty if unknown.
 	CallerService string
+	// CallerHost is the address of the host that sent the request; empty for this one.
+	CallerHost string
 	// Deadline is when the client or the rule times out, TargetDeadline the end of the rule's latency target, and
 	// CompleteBy when the next best server would have completed the request; zero if no other server is better.
 	Deadline, TargetDeadline, CompleteBy time.Time
@@ -28,7 +30,8 @@
 // Slots assigns the slots of one backend server, and keeps to the rate limit that the server names. Of the requests that can still meet
 // their target, the one with the earliest target deadline goes first, and a request that can't complete by its deadline doesn't start.
 // Long requests leave the slots free that more urgent ones need; see slotsFor. Once the queue has not been empty for a while, requests are
-// refused at random, with a probability that grows with the queue and is somewhat higher for less urgent ranks. It isn't safe for
+// refused at random, with a probability that grows with the queue and is somewhat higher for less urgent ranks, and higher for a caller that
+// asks for more than its fair share of its rank. It isn't safe for
 // concurrent use.
 type Slots struct {
 	size       int
@@ -45,6 +48,8 @@
 	// reservations are those at reservedAt, which is zero if they have to be computed again; see reservationsAt.
 	reservations []reservation
 	reservedAt   time.Time
+	// callerLoads tells which callers ask for more than their fair share.
+	callerLoads callerLoads
 }
 
 // ruleStats describes the requests of one rule.
@@ -287,6 +292,7 @@
 	}
 	r.rank, r.target = w.Rank, w.TargetDeadline.Sub(w.arrived)
 	r.callers.record(w.CallerService)
+	s.callerLoads.record(w.callerKey(), s.MeanServiceTime(w.Rule), w.arrived)
 	r.addLoad(s.MeanServiceTime(w.Rule), w.arrived)
 	s.reservedAt = time.Time{}
 }
@@ -304,7 +310,7 @@
 		return nil
 	}
 	limit := s.maxQueueTime(w, now)
-	backlog := s.backlog(w, now)
+	backlog := scale(s.backlog(w, now), s.callerLoads.queueFactor(w.callerKey()))
 	if probability := (float64(backlog)/float64(limit) - refusalStart) / (1 - refusalStart); s.random() < probability {
 		return jaypitch.Errorf(code, "the queue has not been empty for %s and takes %s to empty; the limit is %s%s", now.Sub(s.lastEmpty), backlog, limit, limiting)
 	}
--- a/hop/server.go
+++ b/hop/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -88,6 +89,9 @@
 // parseRequest returns the request without its body.
 func (s *Server) parseRequest(r *http.Request) (*jaypitch.MeshRequest, *jaypitch.Error) {
 	f := &jaypitch.MeshRequest{ID: r.Header.Get(s.idHeader), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: EndToEndHeader(r.Header)}
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		f.CallerHost = host
+	}
 	now := s.now()
 	parseRequestNotice(r.Header.Get(headerNotice), f, now)
 	return f, parseAttempt(r.Header.Get(headerAttempt), f, now)
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -110,7 +110,7 @@
 // Serve admits a request, sends it to the server and returns the response, or a refusal. The caller closes the response's Stream.
 func (r *Receiver) Serve(ctx context.Context, f *jaypitch.MeshRequest) *jaypitch.MeshResponse {
 	arrived := r.now()
-	w := &admit.SlotRequest{Rank: f.Rank, Rule: f.Rule, CallerService: f.CallerService, Deadline: f.Deadline, TargetDeadline: f.TargetDeadline,
+	w := &admit.SlotRequest{Rank: f.Rank, Rule: f.Rule, CallerService: f.CallerService, CallerHost: f.CallerHost, Deadline: f.Deadline, TargetDeadline: f.TargetDeadline,
 		CompleteBy: f.CompleteBy, Decision: make(chan *jaypitch.Error, 1)}
 	server := r.replica.Table().Servers[f.ServerID]
 	response := r.admit(ctx, f, w)
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -31,6 +31,8 @@
 	ServerID string
 	// CallerService is the service of the host that sent the request.
 	CallerService string
+	// CallerHost is the address of the host that sent the request, as the receiver sees it; empty if that is the receiver's own.
+	CallerHost string
 	// Deadline is when the client or the rule times out.
 	Deadline time.Time
 	// TargetDeadline is the end of the rule's latency target for the request.
