Metrics and log fields tell who is queued and who is refused

An operator saw that a server was overloaded, and not by whom. jaypitch_sidecar_queued has the queued requests by rank and calling service, jaypitch_sidecar_received_total the results by code, rank and calling service; services that the configuration lacks have an empty label. Lines received have the calling service and host, lines passed whether the server refuses everything.

go test ./admit and the page tests of ./cmd/jaypitch pass.

--- a/admit/fairness.go
+++ b/admit/fairness.go
@@ -11,6 +11,12 @@
 	host, service string
 }
 
+// Caller names the services whose hosts send requests of a rank.
+type Caller struct {
+	Rank    int64
+	Service string
+}
+
 // callerLoad is the work that a caller asks for: the number of slots that its requests would keep in use, refused ones included. It is a moving
 // average over about loadTime, as it was at a time.
 type callerLoad struct {
@@ -89,3 +95,12 @@
 func (w *SlotRequest) callerKey() callerKey {
 	return callerKey{w.Rank, w.CallerHost, w.CallerService}
 }
+
+// QueuedByCaller returns the numbers of queued requests by rank and calling service.
+func (s *Slots) QueuedByCaller() map[Caller]int {
+	out := map[Caller]int{}
+	for _, w := range s.queue {
+		out[Caller{w.Rank, w.CallerService}]++
+	}
+	return out
+}
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -310,7 +310,11 @@
 		return nil
 	}
 	limit := s.maxQueueTime(w, now)
-	backlog := scale(s.backlog(w, now), s.callerLoads.queueFactor(w.callerKey()))
+	factor := s.callerLoads.queueFactor(w.callerKey())
+	if factor > 1 {
+		limiting += fmt.Sprintf("; the queue counts %.1f times, since host %q asks for more than its fair share", factor, w.CallerHost)
+	}
+	backlog := scale(s.backlog(w, now), factor)
 	if probability := (float64(backlog)/float64(limit) - refusalStart) / (1 - refusalStart); s.random() < probability {
 		return jaypitch.Errorf(code, "the queue has not been empty for %s and takes %s to empty; the limit is %s%s", now.Sub(s.lastEmpty), backlog, limit, limiting)
 	}
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -107,6 +107,13 @@
 	return r.slots.InProgress(), r.slots.Queued(), r.slots.Size()
 }
 
+// Queued returns the numbers of queued requests by rank and calling service.
+func (r *Receiver) Queued() map[admit.Caller]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.slots.QueuedByCaller()
+}
+
 // Serve admits a request, sends it to the server and returns the response, or a refusal. The caller closes the response's Stream.
 func (r *Receiver) Serve(ctx context.Context, f *jaypitch.MeshRequest) *jaypitch.MeshResponse {
 	arrived := r.now()
--- a/logline/kind.go
+++ b/logline/kind.go
@@ -20,9 +20,9 @@
 var Kinds = []Kind{
 	{Answered, requestFields, "a client got the backend server's response; written for a sample by ID, and for every response with a status of 500 or more"},
 	{Failed, requestFields, "a client got a refusal or a response with unknown execution"},
-	{Passed, []string{"id", "pass", "server", "code", "ran", "arrived", "reason", "left", "in_progress", "waiting", "slots", "mean", "failing", "limited", "limit", "limit_wait"},
-		"the sender made an attempt, and this is its result; the last eight fields are from the load report of the receiver"},
-	{Received, []string{"id", "server", "rank", "code", "reason", "waited", "worked", "left", "in_progress", "waiting"},
+	{Passed, []string{"id", "pass", "server", "code", "ran", "arrived", "reason", "left", "in_progress", "waiting", "slots", "mean", "failing", "refusing", "limited", "limit", "limit_wait"},
+		"the sender made an attempt, and this is its result; the last nine fields are from the load report of the receiver"},
+	{Received, []string{"id", "server", "rank", "calling_service", "calling_host", "code", "reason", "waited", "worked", "left", "in_progress", "waiting"},
 		"the receiver got a request from a sender, and this is its result"},
 	{"started", []string{"host", "service", "process", "callers", "backend"}, "the listeners of the process are open"},
 	{"stopping", []string{"requests_in_progress"}, "the process received the signal to stop"},
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -26,6 +26,7 @@
 	undecodableEntries prometheus.Counter
 	serverConnections  prometheus.Counter
 	serverRequests     *prometheus.CounterVec
+	received           *prometheus.CounterVec
 	restores           prometheus.Counter
 }
 
@@ -46,7 +47,8 @@
 		restores:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_restores_total", Help: "Times that the store came back from a copy, as the rise of its era shows."}),
 		serverRequests:     prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_requests_total", Help: "Requests sent to the backend server, by whether it named a rate limit then."}, []string{"limited"}),
 	}
-	m.registry.MustRegister(m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
+	m.received = newReceivedCounter()
+	m.registry.MustRegister(m.received, m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
 	gauge := func(name, help string, f func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
 	}
@@ -63,6 +65,7 @@
 	})
 	gauge("slots_running", "Requests at the backend server.", func() float64 { n, _, _ := c.receiver.Counts(); return float64(n) })
 	gauge("slots_waiting", "Requests queued for a slot.", func() float64 { _, n, _ := c.receiver.Counts(); return float64(n) })
+	c.registerCallers(m)
 	gauge("server_limit", "Requests per second that the backend server takes from all hosts together; +Inf if it names no limit.", func() float64 { return rateLimit(c.receiver.Notice()) })
 	gauge("server_leaving", "1 if the backend server says that it is leaving, else 0.", func() float64 {
 		if c.receiver.Notice().Leaving {
@@ -148,7 +151,7 @@
 	}
 	c.log.Info(logline.Passed, zap.String("id", f.ID), zap.Int("pass", attempt), zap.String("server", f.ServerID), zap.Int("code", int(r.Code)), zap.String("ran", string(r.Execution)),
 		zap.Bool("arrived", r.Arrived), zap.String("reason", r.Reason), zap.Duration("left", f.Deadline.Sub(c.now())), zap.Int("in_progress", r.LoadReport.InProgress),
-		zap.Int("waiting", r.LoadReport.Queued), zap.Int("slots", r.LoadReport.Slots), zap.Duration("mean", r.LoadReport.Mean), zap.Float64("failing", r.LoadReport.Failing),
+		zap.Int("waiting", r.LoadReport.Queued), zap.Int("slots", r.LoadReport.Slots), zap.Duration("mean", r.LoadReport.Mean), zap.Float64("failing", r.LoadReport.Failing), zap.Bool("refusing", r.LoadReport.Refusing),
 		zap.Bool("limited", r.LoadReport.Limited), zap.Float64("limit", r.LoadReport.RateLimit), zap.Duration("limit_wait", r.LoadReport.LimitWait))
 }
 
@@ -159,13 +162,14 @@
 	}
 	rank := strconv.FormatInt(f.Rank, 10)
 	c.metrics.queueTime.WithLabelValues(rank).Observe(queueTime.Seconds())
+	c.recordCaller(f, r, rank)
 	if r.ServiceTime > 0 {
 		c.metrics.serviceTime.WithLabelValues(rank).Observe(r.ServiceTime.Seconds())
 	}
 	if r.Code == jaypitch.CodeOK && !c.logBudget.Sampled(f.ID) || !c.logBudget.AllowRequest(logline.Received, f.ID, c.now()) {
 		return
 	}
-	c.log.Info(logline.Received, zap.String("id", f.ID), zap.String("server", f.ServerID), zap.Int64("rank", f.Rank), zap.Int("code", int(r.Code)),
+	c.log.Info(logline.Received, zap.String("id", f.ID), zap.String("server", f.ServerID), zap.Int64("rank", f.Rank), zap.String("calling_service", f.CallerService), zap.String("calling_host", f.CallerHost), zap.Int("code", int(r.Code)),
 		zap.String("reason", r.Reason), zap.Duration("waited", queueTime), zap.Duration("worked", r.ServiceTime), zap.Duration("left", f.Deadline.Sub(c.now())),
 		zap.Int("in_progress", r.LoadReport.InProgress), zap.Int("waiting", r.LoadReport.Queued))
 }
