--- a/route/placement.go
+++ b/route/placement.go
@@ -92,14 +92,14 @@
 
 // drawTwo returns two random servers of those whose cost is at most comparableCost times the least. It reorders the servers.
 func (c *MeshPicker) drawTwo(servers []candidate) []candidate {
-	limit, comparable := comparableCost*least(servers), 0
+	limit, similar := comparableCost*least(servers), 0
 	for i, o := range servers {
 		if o.cost <= limit {
-			servers[comparable], servers[i] = o, servers[comparable]
-			comparable++
+			servers[similar], servers[i] = o, servers[similar]
+			similar++
 		}
 	}
-	servers = servers[:comparable]
+	servers = servers[:similar]
 	for n := range min(2, len(servers)) {
 		i := n + int(c.random()*float64(len(servers)-n))
 		servers[n], servers[i] = servers[i], servers[n]
