--- a/outbound/stream_test.go
+++ b/outbound/stream_test.go
@@ -151,16 +151,13 @@
 			w.Header().Set("Content-Length", strconv.Itoa(bytes))
 		}
 		if strings.HasPrefix(r.URL.Path, "/held") {
-			select {
-			case <-g.half:
-			case <-r.Context().Done():
-			}
+			g.await(r)
 		}
 		block := make([]byte, 64<<10)
 		for half := bytes / 2; bytes > 0; bytes -= len(block) {
 			if strings.HasPrefix(r.URL.Path, "/slow") && bytes < half {
 				_ = http.NewResponseController(w).Flush()
-				<-g.half
+				g.await(r)
 			}
 			if _, err := w.Write(block[:min(bytes, len(block))]); err != nil {
 				return
@@ -190,6 +187,14 @@
 	return g
 }
 
+// await waits until half is closed, or until the request of the server's response ends.
+func (g *streamFixture) await(r *http.Request) {
+	select {
+	case <-g.half:
+	case <-r.Context().Done():
+	}
+}
+
 // dial opens a connection of a client.
 func (g *streamFixture) dial(t *testing.T) net.Conn {
 	t.Helper()
