Bound the memory and the connections of a sidecar

All four listeners, the bodies of clients and of other sidecars, and the responses that are written draw on one budget now. A body that hasn't arrived by its request's deadline is answered with 503. A receiver waits 400 ms for the next part of a body instead of for all of it. GOMEMLIMIT comes from the same figure.

--- a/cmd/jaypitchd/main.go
+++ b/cmd/jaypitchd/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/logline"
+	"github.com/jaypitch/jaypitch/memory"
 	"github.com/jaypitch/jaypitch/platform"
 	"github.com/jaypitch/jaypitch/schema"
 	"github.com/jaypitch/jaypitch/settings"
@@ -34,9 +35,6 @@
 	// settingsEnv is the environment variable that holds the path of the settings file.
 	settingsEnv = "JAYPITCH_SETTINGS"
 	exitFailed  = 2
-	// memoryLimitPercent is the soft memory limit of the Go runtime, as a percentage of the memory that the settings allow.
-	memoryLimitPercent = 70
-	mebibyte           = 1 << 20
 	// gcPercent is how much the heap grows between garbage collections. It is below Go's default of 100 because memory costs the operators
 	// more than processor time.
 	gcPercent = 50
@@ -62,7 +60,7 @@
 	// The sidecar gets a third of a core, so further threads of Go code would only be time-sliced.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(s.GetSidecar().GetMemoryMb() * mebibyte * memoryLimitPercent / 100)
+	debug.SetMemoryLimit(memory.LimitsOf(s.GetSidecar().GetMemoryMb()).Runtime)
 	logWriter := logline.NewWriter(os.Stdout)
 	log, err := newLogger(logWriter, s.GetLog().GetLevel())
 	if err != nil {
--- a/hop/client.go
+++ b/hop/client.go
@@ -88,7 +88,7 @@
 	if notice := formatRequestNotice(f, now); notice != "" {
 		h[headerNotice] = []string{notice}
 	}
-	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: f.Body, ExpectContinue: f.ExpectContinue}
+	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: f.Body, ExpectContinue: f.ExpectContinue || len(f.Body) >= offerBytes}
 }
 
 // errorResponse returns the response for an attempt that failed with a transport error.
--- a/hop/server.go
+++ b/hop/server.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/memory"
 )
 
 // Receiver serves the requests for the backend server on this host.
@@ -23,25 +25,27 @@
 	closing      func() bool
 	recordSender func(remote string, p jaypitch.Position)
 	fallback     http.Handler
+	budget       *memory.Budget
 }
 
-// deferredBody is a body that its sender sends only after a 100 Continue response.
-type deferredBody struct {
-	request *http.Request
-	control *http.ResponseController
-	now     func() time.Time
-}
+// ServerOption configures a Server.
+type ServerOption func(*Server)
 
-// bodyTimeout bounds the read of a deferred body, since the request may hold a slot meanwhile. It leaves time for a round trip within a
-// region and for one lost packet, which is retransmitted after 200 ms.
-const bodyTimeout = 400 * time.Millisecond
+// WithBudget sets the budget of the bodies and responses. Without it they aren't bounded.
+func WithBudget(b *memory.Budget) ServerOption {
+	return func(s *Server) { s.budget = b }
+}
 
 // NewServer returns a server. IdHeader is the name of the header with the request ID. While closing returns true, the server closes each
 // connection after its response. RecordSender is called with the sender's remote address and the position of the sender's replica.
 // Requests that no sidecar forwarded go to fallback.
 func NewServer(r Receiver, idHeader string, now func() time.Time, closing func() bool,
-	recordSender func(remote string, p jaypitch.Position), fallback http.Handler) *Server {
-	return &Server{receiver: r, idHeader: idHeader, now: now, closing: closing, recordSender: recordSender, fallback: fallback}
+	recordSender func(remote string, p jaypitch.Position), fallback http.Handler, options ...ServerOption) *Server {
+	s := &Server{receiver: r, idHeader: idHeader, now: now, closing: closing, recordSender: recordSender, fallback: fallback, budget: memory.NewBudget(math.MaxInt64)}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // ServeHTTP serves a request. It aborts the connection if the response can't be written completely.
@@ -61,30 +65,20 @@
 		return jaypitch.NotExecutedResponse(e.Code, "%s", e.Reason)
 	}
 	s.recordSender(r.RemoteAddr, f.Position())
+	body := &requestBody{request: r, control: http.NewResponseController(w), now: s.now, budget: s.budget, forward: f}
+	defer body.release()
 	if r.Header.Get("Expect") != "" {
-		f.ReadBody = (&deferredBody{request: r, control: http.NewResponseController(w), now: s.now}).read
+		f.ReadBody = body.read
 		return s.receiver.Serve(r.Context(), f)
 	}
-	body, err := io.ReadAll(r.Body)
+	data, err := body.read()
 	if err != nil {
-		return jaypitch.NotExecutedResponse(jaypitch.CodeBodyCut, "the request body ended early: %s", err)
+		return refusalOf(err)
 	}
-	f.Body = body
+	f.Body = data
 	return s.receiver.Serve(r.Context(), f)
 }
 
-// read requests the body from the sender and returns it. The HTTP server sends 100 Continue at the first read.
-func (b *deferredBody) read() ([]byte, error) {
-	if err := b.control.SetReadDeadline(b.now().Add(bodyTimeout)); err != nil {
-		return nil, err
-	}
-	body, err := io.ReadAll(b.request.Body)
-	if err != nil {
-		return nil, err
-	}
-	return body, b.control.SetReadDeadline(time.Time{})
-}
-
 // parseRequest returns the request without its body.
 func (s *Server) parseRequest(r *http.Request) (*jaypitch.MeshRequest, *jaypitch.Error) {
 	f := &jaypitch.MeshRequest{ID: r.Header.Get(s.idHeader), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: EndToEndHeader(r.Header)}
@@ -96,6 +90,8 @@
 // write sends the response. An error means that the response is truncated.
 func (s *Server) write(w http.ResponseWriter, r *jaypitch.MeshResponse) error {
 	h := w.Header()
+	s.budget.Hold(memory.Responses, int64(len(r.Body)))
+	defer s.budget.Release(memory.Responses, int64(len(r.Body)))
 	status := http.StatusOK
 	if r.Execution == jaypitch.Executed {
 		status = r.Status
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -70,6 +70,8 @@
 	failingTrialShare = 0.1
 	// deadlineGrace is how long after the deadline the server's response is awaited, since the server may itself respond when the deadline passes.
 	deadlineGrace = 40 * time.Millisecond
+	// memoryRetryAfter is the retry-after of a request for whose body there is no memory: about the time in which bodies in progress end.
+	memoryRetryAfter = 250 * time.Millisecond
 	// defaultSlots is the number of slots until the server's entry in the store is known.
 	defaultSlots = 4
 )
@@ -150,6 +152,11 @@
 		body, err := f.ReadBody()
 		if err != nil {
 			r.abandon(w, started)
+			if e, ok := err.(*jaypitch.Error); ok {
+				response := refusal(e)
+				response.RetryAfter = memoryRetryAfter
+				return response
+			}
 			return refusal(jaypitch.Errorf(jaypitch.CodeBodyCut, "reading the deferred request body failed: %s", err))
 		}
 		f.Body = body
--- a/logline/kind.go
+++ b/logline/kind.go
@@ -41,6 +41,8 @@
 	{"entry refused", []string{"code", "reason"}, "an entry of the store cannot be decoded or served: the last valid configuration stays in use, or the server of the entry counts as removed"},
 	{"paused", []string{"for"}, "the process was paused; its configuration is unconfirmed"},
 	{"confirmed after a pause", []string{"store_heard"}, "the configuration is confirmed by the store, or the wait for it timed out (store_heard is false)"},
+	{"memory short", []string{"budget", "held"}, "requests or connections were refused for lack of memory in the last second; held has the bytes by holder"},
+	{"memory no longer short", []string{"budget", "held"}, "none was refused for lack of memory in the last second"},
 	{"settings reloaded", []string{"service", "service_before"}, "the settings file changed"},
 	{"settings refused, the last good ones stay", []string{"error"}, "the settings file is invalid"},
 	{"closing a listener", []string{"error"}, "a listener could not be closed in time"},
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -1,8 +1,6 @@
 package outbound
 
 import (
-	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -14,6 +12,7 @@
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/evidence"
 	"github.com/jaypitch/jaypitch/hop"
+	"github.com/jaypitch/jaypitch/memory"
 	"github.com/jaypitch/jaypitch/mesh"
 )
 
@@ -27,7 +26,7 @@
 	record     func(Record)
 	tracker    *evidence.Tracker
 	inProgress atomic.Int64
-	bodyBudget bodyBudget
+	budget     *memory.Budget
 
 	mu sync.Mutex
 	// draws holds the last draw of each rule.
@@ -69,12 +68,12 @@
 	noSettingsRetryAfter = 300 * time.Millisecond
 )
 
-// NewHandler returns the handler of the listener for clients. BudgetBytes bounds the bytes of request bodies in memory; tracker counts
+// NewHandler returns the handler of the listener for clients. Budget bounds the bytes of bodies and responses in memory; tracker counts
 // the requests in progress by rule. Record is called after each request.
-func NewHandler(d *Dispatcher, replica *mesh.Replica, names jaypitch.HeaderNames, localState func() LocalState, budgetBytes int64,
+func NewHandler(d *Dispatcher, replica *mesh.Replica, names jaypitch.HeaderNames, localState func() LocalState, budget *memory.Budget,
 	tracker *evidence.Tracker, now func() time.Time, record func(Record)) *Handler {
 	return &Handler{dispatcher: d, replica: replica, names: names, localState: localState, now: now,
-		record: record, tracker: tracker, bodyBudget: bodyBudget{limit: budgetBytes}, draws: map[string]float64{}}
+		record: record, tracker: tracker, budget: budget, draws: map[string]float64{}}
 }
 
 // InProgress returns the number of requests in progress.
@@ -126,14 +125,15 @@
 	if e := checkHead(r, t.Limits.GetHeaderBytes()); e != nil {
 		return jaypitch.NotExecutedResponse(e.Code, "%s", e.Reason)
 	}
-	body, e := h.readBody(r, t.Limits.GetBodyBytes())
+	f := &jaypitch.MeshRequest{ID: rec.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host,
+		Rule: rule.GetName(), Rank: rule.GetRank(), Idempotent: rule.GetIdempotent(), CallerService: local.Service}
+	h.setDeadlines(f, r, rule, arrived)
+	body, e := h.readBody(r, t.Limits.GetBodyBytes(), f)
 	if e != nil {
 		return jaypitch.NotExecutedResponse(e.Code, "%s", e.Reason)
 	}
-	defer h.bodyBudget.release(len(body))
-	f := &jaypitch.MeshRequest{ID: rec.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: hop.EndToEndHeader(r.Header), Body: body,
-		Rule: rule.GetName(), Rank: rule.GetRank(), Idempotent: rule.GetIdempotent(), CallerService: local.Service}
-	h.setDeadlines(f, r, rule, arrived)
+	defer body.Release()
+	f.Body, f.Header = body.Data, hop.EndToEndHeader(r.Header)
 	if !local.EndsAt.IsZero() && f.Deadline.After(local.EndsAt) {
 		return jaypitch.NotExecutedResponse(jaypitch.CodeStopping, "the sidecar may stop before the deadline of the request")
 	}
@@ -182,39 +182,6 @@
 	return next
 }
 
-// readBody reads a complete body and reserves its bytes in the body budget. It refuses a body over the limit of the configuration, in
-// bytes, or over the budget. A limit of zero means no limit. The caller releases the body.
-func (h *Handler) readBody(r *http.Request, limit int64) ([]byte, *jaypitch.Error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit > 0 && r.ContentLength > limit {
-		return nil, jaypitch.Errorf(jaypitch.CodeBodyTooLarge, "the body has %d bytes; at most %d are allowed", r.ContentLength, limit)
-	}
-	in := &budgetedBody{budget: &h.bodyBudget, reader: r.Body}
-	if limit > 0 {
-		in.reader = io.LimitReader(r.Body, limit+1)
-	}
-	// The last byte is for the read that finds the end of the body.
-	if !in.reserve(max(r.ContentLength, minBodyBytes) + 1) {
-		return nil, jaypitch.Errorf(jaypitch.CodeTooManyCalls, "%s", errBodyBudget)
-	}
-	body, err := io.ReadAll(in)
-	in.settle()
-	switch {
-	case errors.Is(err, errBodyBudget):
-		h.bodyBudget.release(len(body))
-		return nil, jaypitch.Errorf(jaypitch.CodeTooManyCalls, "%s", err)
-	case err != nil:
-		h.bodyBudget.release(len(body))
-		return nil, jaypitch.Errorf(jaypitch.CodeBodyCut, "the body ended early: %s", err)
-	case limit > 0 && int64(len(body)) > limit:
-		h.bodyBudget.release(len(body))
-		return nil, jaypitch.Errorf(jaypitch.CodeBodyTooLarge, "the body has more than the %d bytes allowed", limit)
-	}
-	return body, nil
-}
-
 // status returns the HTTP status for the client. CodeDeadline gets 503 instead of the status in its Info: clients take 504 for a
 // request that may have been executed, but a refusal guarantees that the request was not executed and never will be.
 func (h *Handler) status(r *jaypitch.MeshResponse) int {
@@ -229,6 +196,8 @@
 
 func (h *Handler) write(w http.ResponseWriter, rec Record, r *jaypitch.MeshResponse) error {
 	out := w.Header()
+	h.budget.Hold(memory.Responses, int64(len(r.Body)))
+	defer h.budget.Release(memory.Responses, int64(len(r.Body)))
 	if r.Execution == jaypitch.Executed {
 		for name, values := range hop.EndToEndHeader(r.Header) {
 			out[name] = values
--- a/outbound/limits.go
+++ b/outbound/limits.go
@@ -61,7 +61,7 @@
 	if !ok {
 		return
 	}
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = t.SetLinger(0) // fails only if the connection is closed already
 	}
 }
@@ -111,6 +111,19 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// NetConn returns the connection that c wraps.
+func (c *limitedConn) NetConn() net.Conn {
+	return c.Conn
+}
+
+// CloseWrite ends the sending direction. The HTTP server uses it so that a client that still sends a refused body reads the response.
+func (c *limitedConn) CloseWrite() error {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
 // checkHead returns an error with CodeHeadTooLarge if a request's head has more bytes than the limit. A limit of zero means no limit.
 func checkHead(r *http.Request, limit int64) *jaypitch.Error {
 	if limit <= 0 {
--- a/outbound/truncated_test.go
+++ b/outbound/truncated_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/evidence"
+	"github.com/jaypitch/jaypitch/memory"
 	"github.com/jaypitch/jaypitch/mesh"
 	"github.com/jaypitch/jaypitch/route"
 	"github.com/jaypitch/jaypitch/schema"
@@ -44,7 +45,7 @@
 		Parts: []*schema.MeshPart{{Service: "x", Weight: 1}}}}}, Servers: []*schema.MeshServer{{Id: "i-1", Service: "x", Address: "10.0.0.1:1", Slots: 10, Revision: 1}}}, time.Now())
 	d := NewDispatcher("10.0.0.9:1", func(server string) string { return server }, s, streamForwarder{}, nil, route.NewMeshPicker("here", func() float64 { return 0 }),
 		route.NewMeshRetryBudget(0, 0, time.Second), time.Now, func(*jaypitch.MeshRequest, *jaypitch.MeshResponse, int) {})
-	h := NewHandler(d, s, jaypitch.HeaderNames{RequestID: "Id", TimeLeftMS: "Left"}, func() LocalState { return LocalState{} }, 1<<20, evidence.NewTracker(), time.Now, func(Record) {})
+	h := NewHandler(d, s, jaypitch.HeaderNames{RequestID: "Id", TimeLeftMS: "Left"}, func() LocalState { return LocalState{} }, memory.NewBudget(1<<20), evidence.NewTracker(), time.Now, func(Record) {})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/sidecar/listen.go
+++ b/sidecar/listen.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/jaypitch/jaypitch/connlimit"
 	"github.com/jaypitch/jaypitch/outbound"
 )
 
@@ -59,7 +60,9 @@
 		{Handler: ready, ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout},
 		{Handler: operators, ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout},
 	}
-	for i, listener := range []net.Listener{outbound.NewListener(l.callers, c.replica, c.now), l.peers, l.ready, l.metrics} {
+	bounded := c.memory.listeners(l, c.configuredHeadBytes, c.now)
+	for i, listener := range []net.Listener{outbound.NewListener(bounded[0], c.replica, c.now), bounded[1], bounded[2], bounded[3]} {
+		connlimit.Attach(servers[i])
 		servers[i].BaseContext = func(net.Listener) context.Context { return ctx }
 		c.wg.Add(1)
 		go (&serveTask{server: servers[i], listener: listener, wg: &c.wg}).run()
--- a/sidecar/loops.go
+++ b/sidecar/loops.go
@@ -71,6 +71,7 @@
 	c := t.sidecar
 	c.backendPool.CloseExpired()
 	c.peerPool.CloseExpired()
+	c.memory.observe()
 	for kind, n := range c.logBudget.TakeSuppressed() {
 		c.log.Info("lines left out", zap.String("kind", kind), zap.Int64("lines", n))
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -63,6 +63,7 @@
 	backendPool  *http1.Pool
 	peerPool     *http1.Pool
 	metrics      *metrics
+	memory       *memoryState
 	tracker      *evidence.Tracker
 	burnCounter  burnCounter
 	// appliedAt is when the current configuration was applied; nil before the first one.
@@ -88,9 +89,6 @@
 	idleBeforeClose = 200 * time.Millisecond
 	// shutdownMargin is the part of the grace time that is reserved for the end of the process.
 	shutdownMargin = 500 * time.Millisecond
-	// bodyMemoryDivisor sets the share of the memory that request bodies may take: one eighth.
-	bodyMemoryDivisor = 8
-	megabyte          = 1 << 20
 )
 
 // New returns a sidecar with validated settings. load reads the settings again and returns nil if they are unchanged; dropped returns
@@ -100,7 +98,9 @@
 	c := &Sidecar{loadSettings: load, platform: p, log: log, logBudget: logline.NewBudget(), now: time.Now, process: rand.Uint64(), replica: mesh.NewReplica(), tracker: evidence.NewTracker(),
 		burnCounter: burnCounter{counter: burn.NewCounter()}}
 	c.settings.Store(s)
+	c.memory = newMemoryState(s.GetSidecar(), log)
 	c.metrics = newMetrics(c, dropped)
+	c.metrics.registry.MustRegister(c.memory)
 	listen, err := netip.ParseAddrPort(s.GetListen().GetPeers())
 	if err != nil {
 		return nil, eris.Wrap(err, "parsing the listen address for peers")
@@ -120,13 +120,13 @@
 	control := http.NewServeMux()
 	control.Handle(meshpeer.NewHandler(c.replica, c.confirmation.age, c.find, c.burnCounts, c.recordSender))
 	control.HandleFunc("GET "+hop.ProbePath, func(http.ResponseWriter, *http.Request) {})
-	c.peerServer = hop.NewServer(c.receiver, p.HeaderNames.RequestID, c.now, c.stopping.Load, c.recordSender, control)
+	c.peerServer = hop.NewServer(c.receiver, p.HeaderNames.RequestID, c.now, c.stopping.Load, c.recordSender, http.MaxBytesHandler(control, maxControlBytes), hop.WithBudget(c.memory.budget))
 	picker := route.NewMeshPicker(s.GetSidecar().GetDataCentre(), rand.Float64)
 	retryBudget := route.NewMeshRetryBudget(ratio, s.GetBounds().GetRetrySlack(), micros(s.GetBounds().GetRetryWindowUs()))
 	c.hopClient = hop.NewClient(c.peerPool, c.now)
 	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
 		outbound.WithNotices(p.DecodeNotice))
-	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, s.GetSidecar().GetMemoryMb()*megabyte/bodyMemoryDivisor, c.tracker, c.now, c.recordRequest)
+	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, c.memory.budget, c.tracker, c.now, c.recordRequest)
 	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, seeded: c.seeded, starting: c.starting, readsAllPages: c.readsAllPages, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
 	return c, nil
