http1: write head and short body in one buffer

net.Buffers hides the write from the race detector, which then reported a race in TestForwardRefused of hop between a test and the server that it had just asked. The packages that use it pass with the race detector.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -139,13 +139,12 @@
 	}
 	b.WriteString("\r\n")
 	inline := !x.awaitingContinue && len(r.Body) <= maxInlineBodyBytes
-	parts := net.Buffers{b.Bytes()}
-	if inline && len(r.Body) > 0 {
-		// Both are sent with one system call, and the body isn't copied for it.
-		parts = append(parts, r.Body)
+	if inline {
+		// The copy of a short body saves a packet. net.Buffers would save both, but the race detector takes no note of writev.
+		b.Write(r.Body)
 	}
-	n, err := parts.WriteTo(x.conn.net)
-	x.conn.writtenBytes.Add(n)
+	n, err := x.conn.net.Write(b.Bytes())
+	x.conn.writtenBytes.Add(int64(n))
 	if err != nil || inline || x.awaitingContinue {
 		return err
 	}
