Reserve the memory of responses before their requests are sent

A response that has arrived can't be refused any more, so clients that don't read could collect up to 256 KiB on each connection. The sender reserves what a rule's larger responses took, and refuses the request with 503 if there is no room; small responses cost nothing of note. The body of another sidecar has to be complete by its request's deadline, and within 2 minutes.

--- a/hop/body.go
+++ b/hop/body.go
@@ -17,12 +17,16 @@
 	budget  *memory.Budget
 	forward *jaypitch.MeshRequest
 	body    *memory.Body
+	// until is when the whole body has to be read.
+	until time.Time
 }
 
 const (
 	// bodyTimeout bounds the time without any byte of a body, since the request may hold a slot meanwhile. It leaves time for a round trip within a
 	// region and for one lost packet, which is retransmitted after 200 ms.
 	bodyTimeout = 400 * time.Millisecond
+	// maxBodyTime bounds the time for a whole body, whatever deadline the sender names. The largest one takes 77 s over the slowest link, 7 Mbit/s.
+	maxBodyTime = 2 * time.Minute
 	// offerBytes is the size from which a body is sent only after the receiver has admitted the request and reserved its memory. The round trip
 	// costs less than sending such a body in vain.
 	offerBytes = 64 << 10
@@ -35,6 +39,7 @@
 	if b.request.ContentLength == 0 {
 		return nil, nil
 	}
+	b.until = b.now().Add(min(b.forward.Deadline.Sub(b.now()), maxBodyTime))
 	claim := memory.Claim{Rank: b.forward.Rank, TimeLeft: b.forward.Deadline.Sub(b.now())}
 	body, err := b.budget.ReadBody(b, b.request.ContentLength, 0, memory.ReceiverBodies, claim)
 	if errors.Is(err, memory.ErrShort) {
@@ -50,7 +55,7 @@
 // Read reads a part of the body, for which the sender has bodyTimeout.
 func (b *requestBody) Read(p []byte) (int, error) {
 	// The deadline is one of the connection, so it is a time of the real clock.
-	if err := b.control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err := b.control.SetReadDeadline(time.Now().Add(min(bodyTimeout, b.until.Sub(b.now())))); err != nil {
 		return 0, err
 	}
 	return b.request.Body.Read(p)
--- a/hop/server.go
+++ b/hop/server.go
@@ -90,6 +90,7 @@
 // write sends the response. An error means that the response is truncated.
 func (s *Server) write(w http.ResponseWriter, r *jaypitch.MeshResponse) error {
 	h := w.Header()
+	// The slots of the server bound the responses here, so their memory isn't reserved before.
 	s.budget.Hold(memory.Responses, int64(len(r.Body)))
 	defer s.budget.Release(memory.Responses, int64(len(r.Body)))
 	status := http.StatusOK
--- a/memory/body.go
+++ b/memory/body.go
@@ -102,6 +102,11 @@
 	return nil
 }
 
+// Held returns the bytes that the body holds.
+func (b *Body) Held() int64 {
+	return b.held
+}
+
 // Release returns the bytes to the budget. It may be called on nil and more than once.
 func (b *Body) Release() {
 	if b == nil {
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -40,7 +40,7 @@
 	Heads
 	// Connections are the buffers and stacks of the listeners' connections.
 	Connections
-	// Responses are the buffered responses that are being written.
+	// Responses are the buffered parts of responses, from before their requests are sent until they are written.
 	Responses
 
 	holderCount
@@ -123,9 +123,9 @@
 	return true
 }
 
-// bodies returns the bytes that bodies hold.
+// bodies returns the bytes that bodies of requests and responses hold.
 func (b *Budget) bodies() int64 {
-	return b.holders[SenderBodies].held.Load() + b.holders[ReceiverBodies].held.Load()
+	return b.holders[SenderBodies].held.Load() + b.holders[ReceiverBodies].held.Load() + b.holders[Responses].held.Load()
 }
 
 // collectGarbage frees the memory of released bodies before their bytes are used again, since they would take memory twice until then.
--- a/memory/policy.go
+++ b/memory/policy.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Claim is a request for memory that a body needs until its request ends.
+// Claim is a request for memory that a body or a response needs until its request ends.
 type Claim struct {
 	Bytes int64
 	// Own is the part of the held bytes that the same body has already. It is returned once the claim is granted.
@@ -16,13 +16,13 @@
 // Usage is the state of a budget, in bytes.
 type Usage struct {
 	Limit, Held int64
-	// Bodies is the part of Held that bodies hold.
+	// Bodies is the part of Held that bodies of requests and responses hold.
 	Bodies int64
 }
 
 // Shares of the limit, as divisors, that a claim leaves to others.
 const (
-	// headShare is left to heads, connections and responses by every body, so that requests without a body are still served.
+	// headShare is left to heads and connections by every body, so that requests without a body are still served.
 	headShare = 16
 	// rankShare is left to each more urgent rank, for at most maxRanks of them.
 	rankShare = 16
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -27,6 +27,7 @@
 	tracker    *evidence.Tracker
 	inProgress atomic.Int64
 	budget     *memory.Budget
+	responses  *responseMemory
 
 	mu sync.Mutex
 	// draws holds the last draw of each rule.
@@ -73,7 +74,7 @@
 func NewHandler(d *Dispatcher, replica *mesh.Replica, names jaypitch.HeaderNames, localState func() LocalState, budget *memory.Budget,
 	tracker *evidence.Tracker, now func() time.Time, record func(Record)) *Handler {
 	return &Handler{dispatcher: d, replica: replica, names: names, localState: localState, now: now,
-		record: record, tracker: tracker, budget: budget, draws: map[string]float64{}}
+		record: record, tracker: tracker, budget: budget, responses: &responseMemory{budget: budget, expected: map[string]int64{}}, draws: map[string]float64{}}
 }
 
 // InProgress returns the number of requests in progress.
@@ -89,7 +90,10 @@
 	defer h.inProgress.Add(-1)
 	local := h.localState()
 	rec := Record{ID: r.Header.Get(h.names.RequestID)}
-	response := h.respond(r, local, arrived, &rec)
+	hold := &responseHold{memory: h.responses}
+	defer hold.release()
+	response := h.respond(r, local, arrived, &rec, hold)
+	hold.settle(response)
 	if local.Stopping || h.localState().Stopping {
 		w.Header()["Connection"] = []string{"close"}
 	}
@@ -107,8 +111,8 @@
 	}
 }
 
-// respond matches the request to a rule, dispatches it and returns the response. It fills in rec.
-func (h *Handler) respond(r *http.Request, local LocalState, arrived time.Time, rec *Record) *jaypitch.MeshResponse {
+// respond matches the request to a rule, dispatches it and returns the response. It fills in rec, and reserves the response's memory in hold.
+func (h *Handler) respond(r *http.Request, local LocalState, arrived time.Time, rec *Record, hold *responseHold) *jaypitch.MeshResponse {
 	t := h.replica.Table()
 	rec.Version = t.Version
 	if t.Version == 0 || local.Unconfirmed {
@@ -133,6 +137,9 @@
 		return jaypitch.NotExecutedResponse(e.Code, "%s", e.Reason)
 	}
 	defer body.Release()
+	if !hold.reserve(rule.GetName(), memory.Claim{Rank: f.Rank, TimeLeft: f.Deadline.Sub(h.now()), Own: body.Held()}) {
+		return jaypitch.NotExecutedResponse(jaypitch.CodeTooManyCalls, "the memory budget has no room for the response")
+	}
 	f.Body, f.Header = body.Data, hop.EndToEndHeader(r.Header)
 	if !local.EndsAt.IsZero() && f.Deadline.After(local.EndsAt) {
 		return jaypitch.NotExecutedResponse(jaypitch.CodeStopping, "the sidecar may stop before the deadline of the request")
@@ -196,8 +203,6 @@
 
 func (h *Handler) write(w http.ResponseWriter, rec Record, r *jaypitch.MeshResponse) error {
 	out := w.Header()
-	h.budget.Hold(memory.Responses, int64(len(r.Body)))
-	defer h.budget.Release(memory.Responses, int64(len(r.Body)))
 	if r.Execution == jaypitch.Executed {
 		for name, values := range hop.EndToEndHeader(r.Header) {
 			out[name] = values
