Bound control messages, operators' queries and idle connections

A control message was read into memory whatever its length, a compressor of 1 MB was held for each response of the metrics listener that wasn't read, each query of an operator opens a connection to every host, and a pool kept any number of idle connections. Control messages are bounded by 64 KiB, reserved before they are read; metrics are sent uncompressed; two queries run at a time; 15% of the descriptors are for idle connections to other sidecars.

--- a/hostile/clients_test.go
+++ b/hostile/clients_test.go
@@ -1,6 +1,7 @@
 package hostile
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -12,8 +13,11 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/jaypitch/jaypitch/platform"
 	"github.com/jaypitch/jaypitch/scenario"
+	"github.com/jaypitch/jaypitch/schema/schemaconnect"
 )
 
 // rawClient is a client that writes bytes of its own.
@@ -288,3 +292,27 @@
 		})
 	}
 }
+
+// TestControlBodies guards against control messages whose bodies are read without a bound.
+func TestControlBodies(t *testing.T) {
+	w := newMesh(t, 0, memoryMB)
+	text := "POST " + schemaconnect.MeshPeerHeldProcedure + " HTTP/1.1\r\nHost: h\r\nContent-Type: application/proto\r\nConnect-Protocol-Version: 1\r\nContent-Length: 4194304\r\n\r\n"
+	attack(t, w.Address(0, "peers"), 100, rawClient{sent: text, unit: "x", total: 4 << 20})
+	w.assertWithinBounds(t)
+}
+
+// TestBodySlowerThanTimeout guards against a client that gets no response if it sends its body more slowly than the rule's timeout.
+func TestBodySlowerThanTimeout(t *testing.T) {
+	is := is.New(t)
+	w := newMesh(t, 0, memoryMB)
+	c := rawClient{conn: dial(w.Address(0, "callers"))}
+	is.True(c.conn != nil)
+	defer c.conn.Close()
+	is.NoErr(c.write(head("callers", "PUT") + "Content-Length: 10000\r\n\r\nx"))
+	response, err := http.ReadResponse(bufio.NewReader(c.conn), nil)
+	is.NoErr(err)
+	defer response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Header.Get("Retry-After") != "")
+	w.assertWithinBounds(t)
+}
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -24,6 +24,8 @@
 	mu sync.Mutex
 	// idle holds the idle connections by address; the most recently used one is last.
 	idle map[string][]*Conn
+	// idleCount is their number, maxIdle the most of them; zero means no limit.
+	idleCount, maxIdle int
 }
 
 // PoolOption configures a Pool.
@@ -51,6 +53,11 @@
 	return func(p *Pool) { p.onDial = f }
 }
 
+// WithMaxIdle sets the maximum number of idle connections to all addresses together.
+func WithMaxIdle(n int) PoolOption {
+	return func(p *Pool) { p.maxIdle = n }
+}
+
 // NewPool returns a pool that reads the time from now.
 func NewPool(now func() time.Time, options ...PoolOption) *Pool {
 	p := &Pool{now: now, idle: map[string][]*Conn{}, onDial: func(string) {}}
@@ -82,6 +89,7 @@
 	for _, c := range p.idle[address] {
 		c.close()
 	}
+	p.idleCount -= len(p.idle[address])
 	delete(p.idle, address)
 }
 
@@ -100,6 +108,7 @@
 			}
 		}
 		clear(list[len(usable):])
+		p.idleCount -= len(list) - len(usable)
 		p.idle[address] = usable
 		if len(usable) == 0 {
 			delete(p.idle, address)
@@ -119,6 +128,7 @@
 		c := list[len(list)-1]
 		list[len(list)-1] = nil
 		p.idle[address] = list[:len(list)-1]
+		p.idleCount--
 		p.mu.Unlock()
 		if p.now().Before(c.usableUntil) && c.reusable() {
 			return c
@@ -130,6 +140,11 @@
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.maxIdle > 0 && p.idleCount >= p.maxIdle {
+		c.close()
+		return
+	}
+	p.idleCount++
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
--- a/sidecar/listen.go
+++ b/sidecar/listen.go
@@ -52,8 +52,10 @@
 	ready.HandleFunc("GET "+c.platform.ReadyPath, c.handleReady)
 	operators := http.NewServeMux()
 	operators.Handle("/", c.metrics.handler())
-	operators.HandleFunc("GET /evidence", c.handleEvidence)
-	operators.HandleFunc("GET /burn", c.handleBurn)
+	// Both query all hosts, so their number bounds the connections that they open.
+	queries := &inFlightLimit{handler: http.HandlerFunc(c.handleQuery), most: maxQueries}
+	operators.Handle("GET /evidence", queries)
+	operators.Handle("GET /burn", queries)
 	servers := []*http.Server{
 		outbound.NewServer(c.handler),
 		{Handler: c.peerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout},
@@ -76,6 +78,15 @@
 	_ = s.server.Serve(s.listener)
 }
 
+// handleQuery serves the queries of operators.
+func (c *Sidecar) handleQuery(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/burn" {
+		c.handleBurn(w, r)
+		return
+	}
+	c.handleEvidence(w, r)
+}
+
 func (c *Sidecar) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !c.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -29,10 +29,16 @@
 const (
 	// reservedFiles is the number of descriptors that are kept for files, the store and the server's connections.
 	reservedFiles = 200
-	// minConnections is the least number of connections of a listener.
-	minConnections = 8
-	// maxControlBytes bounds the body of a control message from another sidecar. A poll names positions and takes far less.
-	maxControlBytes = 1 << 20
+	// minConnections is the least number of connections of a listener, and maxProbeConnections the most of those for probes and metrics, which
+	// the platform, Prometheus and operators use.
+	minConnections      = 8
+	maxProbeConnections = 32
+	// maxControlBytes bounds the body of a control message from another sidecar. A message has a few numbers and names.
+	maxControlBytes = 64 << 10
+	// maxQueries bounds the queries of operators at the same time.
+	maxQueries = 2
+	// idlePercent is the share of the descriptors for idle connections to other sidecars.
+	idlePercent = 15
 )
 
 // listenerNames are the names of the listeners in metrics, and listenerPercent the shares of the descriptors that their connections may use.
@@ -59,6 +65,9 @@
 	out := make([]net.Listener, len(listenerNames))
 	for i, inner := range []net.Listener{l.callers, l.peers, l.ready, l.metrics} {
 		most := max((m.files-reservedFiles)*listenerPercent[i]/100, minConnections)
+		if inner == l.ready || inner == l.metrics {
+			most = min(most, maxProbeConnections)
+		}
 		limited[i] = connlimit.New(inner, m.budget, most, now, connlimit.WithHeadBytes(headBytes))
 		out[i] = limited[i]
 	}
@@ -66,6 +75,11 @@
 	return out
 }
 
+// maxIdle returns the most idle connections to other sidecars.
+func (m *memoryState) maxIdle() int {
+	return max((m.files-reservedFiles)*idlePercent/100, minConnections)
+}
+
 // observe logs that memory has become short, or is no longer short.
 func (m *memoryState) observe() {
 	refusals := int64(0)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -79,8 +79,9 @@
 	return c.metrics.registry
 }
 
+// handler serves the metrics uncompressed: a compressor takes 1 MB for each response that is being written.
 func (m *metrics) handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
 }
 
 func (m *metrics) recordConnection(string) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -114,13 +114,13 @@
 	}
 	c.backendPool = http1.NewPool(c.now, http1.WithOnDial(c.metrics.recordConnection))
 	// Receivers identify this sidecar by the local address, to poll it for newer revisions.
-	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()))
+	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()), http1.WithMaxIdle(c.memory.maxIdle()))
 	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.HeaderNames, c.replica, c.confirmation.age, c.backendPool, c.now, c.recordReceived,
 		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice))
 	control := http.NewServeMux()
 	control.Handle(meshpeer.NewHandler(c.replica, c.confirmation.age, c.find, c.burnCounts, c.recordSender))
 	control.HandleFunc("GET "+hop.ProbePath, func(http.ResponseWriter, *http.Request) {})
-	c.peerServer = hop.NewServer(c.receiver, p.HeaderNames.RequestID, c.now, c.stopping.Load, c.recordSender, http.MaxBytesHandler(control, maxControlBytes), hop.WithBudget(c.memory.budget))
+	c.peerServer = hop.NewServer(c.receiver, p.HeaderNames.RequestID, c.now, c.stopping.Load, c.recordSender, &controlLimit{handler: control, budget: c.memory.budget}, hop.WithBudget(c.memory.budget))
 	picker := route.NewMeshPicker(s.GetSidecar().GetDataCentre(), rand.Float64)
 	retryBudget := route.NewMeshRetryBudget(ratio, s.GetBounds().GetRetrySlack(), micros(s.GetBounds().GetRetryWindowUs()))
 	c.hopClient = hop.NewClient(c.peerPool, c.now)
