Keep probes and short requests served while memory is short

Bodies that fill the budget would also have shut out liveness and readiness probes, which other sidecars and the platform take for a dead process. The first 32 connections of a listener, short heads and short responses need no free memory now; their cost is part of that of a connection. All connections together take at most half of the budget. Garbage is collected only from a sixteenth of the budget on, so that bodies just over the size that counts don't cause a collection each.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -22,8 +22,8 @@
 	// since is when the phase began, and element the place in the list of the phase. The listener's lock protects these fields.
 	since   time.Time
 	element *list.Element
-	// head counts the bytes read since the phase began, charge what the heads have reserved, and last the part of the last read, which may
-	// belong to the next request.
+	// head counts the bytes read since the phase began, charge is the cost of the heads, and last the part of the last read, which may belong to
+	// the next request.
 	head, charge, last int64
 }
 
@@ -40,6 +40,8 @@
 	// byteCost and lineCost are what a byte and a line of a head take in memory: they are copied into maps of both directions.
 	byteCost = 4
 	lineCost = 256
+	// freeCost is the cost of a head that is part of connectionBytes. So short heads, as of probes, are read also while memory is short.
+	freeCost = 4 << 10
 	// readAheadBytes is the buffer of the HTTP server, which may hold the begin of a body or of the next request.
 	readAheadBytes = 4 << 10
 	// writeStep is how many bytes have to be read by the other side in stallTimeout, or in scarceStallTimeout while memory is scarce.
@@ -98,7 +100,7 @@
 		l.refused.Add(1)
 		return headTooLarge, false
 	}
-	if !l.budget.Reserve(memory.Heads, cost) {
+	if more := reserved(c.charge+cost) - reserved(c.charge); more > 0 && !l.budget.Reserve(memory.Heads, more) {
 		l.remove(c)
 		l.refused.Add(1)
 		return unavailable, false
@@ -130,14 +132,19 @@
 	}
 	if lines := c.readAhead.Swap(0); lines > 0 {
 		cost := lineCost * lines
-		l.budget.Hold(memory.Heads, cost)
+		l.budget.Hold(memory.Heads, reserved(c.charge+cost)-reserved(c.charge))
 		c.charge, c.last = c.charge+cost, cost
 	}
-	l.budget.Release(memory.Heads, c.charge-c.last)
+	l.budget.Release(memory.Heads, reserved(c.charge)-reserved(c.last))
 	c.charge = c.last
 	c.enter(phaseIdle, &l.idle)
 }
 
+// reserved returns the part of a cost that is reserved.
+func reserved(cost int64) int64 {
+	return max(cost-freeCost, 0)
+}
+
 // enter begins a phase and moves the connection to its list; nil is none. The caller holds the listener's lock.
 func (c *conn) enter(phase int32, to *list.List) {
 	c.unlist()
--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -39,6 +39,8 @@
 const (
 	// connectionBytes is what a connection costs: 24 kB of buffers and stacks after its first request, measured with 1,500 of them.
 	connectionBytes = 24 << 10
+	// guaranteed is the number of connections that get memory also while it is short, so that probes and ordinary clients aren't shut out by bodies.
+	guaranteed = 32
 	// defaultHeadBytes bounds a head if no limit is configured. It is four times the limit of the platform's configuration.
 	defaultHeadBytes = 64 << 10
 )
@@ -48,6 +50,11 @@
 	return func(l *Listener) { l.headBytes = f }
 }
 
+// MostFor returns how many connections take at most a number of bytes.
+func MostFor(bytes int64) int {
+	return int(bytes / connectionBytes)
+}
+
 // New returns a listener that has at most a number of open connections, which take their memory from a budget.
 func New(l net.Listener, budget *memory.Budget, most int, now func() time.Time, options ...Option) *Listener {
 	out := &Listener{Listener: l, budget: budget, most: most, now: now, headBytes: func() int64 { return 0 }}
@@ -129,6 +136,10 @@
 
 // reserve reserves the memory of a connection. If there is none, it closes another one. The caller holds the lock.
 func (l *Listener) reserve() bool {
+	if l.open < guaranteed {
+		l.budget.Hold(memory.Connections, connectionBytes)
+		return true
+	}
 	return l.budget.Reserve(memory.Connections, connectionBytes) || l.makeRoom() && l.budget.Reserve(memory.Connections, connectionBytes)
 }
 
@@ -157,7 +168,7 @@
 	c.unlist()
 	l.open--
 	l.budget.Release(memory.Connections, connectionBytes)
-	l.budget.Release(memory.Heads, c.charge)
+	l.budget.Release(memory.Heads, reserved(c.charge))
 	c.charge = 0
 }
 
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -54,6 +54,8 @@
 	fileBytes = 11 * mebibyte
 	// baseBytes is what the runtime holds besides the holders: an idle process, the replica, and the garbage of short requests.
 	baseBytes = 12 * mebibyte
+	// garbageShare is the divisor of the limit up to which garbage is left alone, so that a collection frees enough for its cost.
+	garbageShare = 16
 	// minGarbageBytes is the size from which a released body counts as garbage. Smaller ones are part of baseBytes.
 	minGarbageBytes = 64 << 10
 )
@@ -117,7 +119,7 @@
 		return false
 	}
 	b.holders[h].held.Add(c.Bytes)
-	if b.garbage.Load() > 0 && b.held.Load()+b.garbage.Load() > b.limit {
+	if g := b.garbage.Load(); g > b.limit/garbageShare && b.held.Load()+g > b.limit {
 		b.collectGarbage()
 	}
 	return true
@@ -149,7 +151,7 @@
 
 // Scarce reports whether less than a quarter of the budget is free.
 func (b *Budget) Scarce() bool {
-	return b.held.Load() > b.limit/4*3
+	return b.held.Load() > b.limit-b.limit/4
 }
 
 // Limit returns the limit in bytes.
--- a/outbound/response_memory.go
+++ b/outbound/response_memory.go
@@ -27,6 +27,8 @@
 const (
 	// streamBytes is what a streamed response takes besides its first part: the buffer of the copy and that of the connection.
 	streamBytes = 40 << 10
+	// freeBytes is the size up to which a response needs no reservation: the buffers of its connection hold it.
+	freeBytes = 4 << 10
 	// expectedDecay is the divisor by which the expected size approaches smaller responses, with each of them.
 	expectedDecay = 16
 )
@@ -37,8 +39,11 @@
 	c.Bytes = h.memory.expected[rule]
 	h.memory.mu.Unlock()
 	h.rule = rule
-	if c.Bytes == 0 || !h.memory.budget.ReserveBody(memory.Responses, c) {
-		return c.Bytes == 0
+	if c.Bytes <= freeBytes {
+		return true
+	}
+	if !h.memory.budget.ReserveBody(memory.Responses, c) {
+		return false
 	}
 	h.bytes = c.Bytes
 	return true
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -37,6 +37,8 @@
 	maxControlBytes = 64 << 10
 	// maxQueries bounds the queries of operators at the same time.
 	maxQueries = 2
+	// connectionShare is the divisor of the budget that bounds the connections of all listeners, so that they leave room for requests.
+	connectionShare = 2
 	// idlePercent is the share of the descriptors for idle connections to other sidecars.
 	idlePercent = 15
 )
@@ -64,7 +66,8 @@
 	limited := make([]*connlimit.Listener, len(listenerNames))
 	out := make([]net.Listener, len(listenerNames))
 	for i, inner := range []net.Listener{l.callers, l.peers, l.ready, l.metrics} {
-		most := max((m.files-reservedFiles)*listenerPercent[i]/100, minConnections)
+		inMemory := connlimit.MostFor(m.budget.Limit() / connectionShare * int64(listenerPercent[i]) / 100)
+		most := max(min((m.files-reservedFiles)*listenerPercent[i]/100, inMemory), minConnections)
 		if inner == l.ready || inner == l.metrics {
 			most = min(most, maxProbeConnections)
 		}
