Receivers refuse late bodies as such; room for idle connections of all hosts

A body that arrives too late got code 108 from the receiver, for which a sender closes its client's connection although nothing was executed. It gets 104 now, which the client sees as 503. Peers may use 60% of the memory for connections instead of 25%: at 112 MB that is 853 connections instead of 355, since each of 295 hosts may keep one or two idle ones for 8 s, and closing one in use costs its request. TestBodyWithoutMemory and TestLateBody pass with the race detector, three runs each.

--- a/hop/body.go
+++ b/hop/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/jaypitch/jaypitch"
@@ -42,10 +43,13 @@
 	b.until = b.now().Add(min(b.forward.Deadline.Sub(b.now()), maxBodyTime))
 	claim := memory.Claim{Rank: b.forward.Rank, TimeLeft: b.forward.Deadline.Sub(b.now())}
 	body, err := b.budget.ReadBody(b, b.request.ContentLength, 0, memory.ReceiverBodies, claim)
-	if errors.Is(err, memory.ErrShort) {
+	switch {
+	case errors.Is(err, memory.ErrShort):
 		return nil, jaypitch.Errorf(jaypitch.CodeOverloaded, "%s", err)
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The sender is still there, and its client as well: CodeBodyCut would close the client's connection.
+		return nil, jaypitch.Errorf(jaypitch.CodeDeadline, "the body did not arrive in time")
+	case err != nil:
 		return nil, err
 	}
 	b.body = body
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -43,11 +43,13 @@
 	idlePercent = 15
 )
 
-// listenerNames are the names of the listeners in metrics, and listenerPercent the shares of the descriptors that their connections may use.
-// Connections to other sidecars use the rest.
+// listenerNames are the names of the listeners in metrics. filesPercent are the shares of the descriptors that their connections may use;
+// connections to other sidecars use the rest. memoryPercent are the shares of the memory for connections. That of peers is the largest: each of 295
+// hosts may keep one or two idle connections here.
 var (
-	listenerNames   = [...]string{"callers", "peers", "ready", "metrics"}
-	listenerPercent = [...]int{35, 25, 2, 2}
+	listenerNames = [...]string{"callers", "peers", "ready", "metrics"}
+	filesPercent  = [...]int{35, 25, 2, 2}
+	memoryPercent = [...]int64{35, 60, 2, 2}
 
 	heldDesc        = prometheus.NewDesc(namespace+"_memory_held_bytes", "Bytes of the memory budget that are held, by holder.", []string{"holder"}, nil)
 	refusalsDesc    = prometheus.NewDesc(namespace+"_memory_refusals_total", "Requests and connections refused for lack of memory, by holder.", []string{"holder"}, nil)
@@ -66,8 +68,8 @@
 	limited := make([]*connlimit.Listener, len(listenerNames))
 	out := make([]net.Listener, len(listenerNames))
 	for i, inner := range []net.Listener{l.callers, l.peers, l.ready, l.metrics} {
-		inMemory := connlimit.MostFor(m.budget.Limit() / connectionShare * int64(listenerPercent[i]) / 100)
-		most := max(min((m.files-reservedFiles)*listenerPercent[i]/100, inMemory), minConnections)
+		inMemory := connlimit.MostFor(m.budget.Limit() / connectionShare * memoryPercent[i] / 100)
+		most := max(min((m.files-reservedFiles)*filesPercent[i]/100, inMemory), minConnections)
 		if inner == l.ready || inner == l.metrics {
 			most = min(most, maxProbeConnections)
 		}
