Bound the time for bodies that no handler reads

net/http reads up to 256 KiB of a body that its handler left before it responds, without a limit of time. A request to a path without a rule whose body never came held its connection forever, also at ready and metrics, so that a few clients could shut out all others of a bounded listener. Such a body has 5 s now; handlers that read one set their own deadline. TestAbandonedBodies guards it.

--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -45,6 +45,10 @@
 	defaultHeadBytes = 64 << 10
 )
 
+// bodyTimeout bounds the time for a body that the handler doesn't read: the HTTP server reads up to 256 KiB of it before it responds, without a
+// limit of its own. Handlers that read a body set a read deadline themselves, and remove it at the end of the body.
+const bodyTimeout = 5 * time.Second
+
 // WithHeadBytes sets the function that returns the limit for a request's head; zero means none is configured.
 func WithHeadBytes(f func() int64) Option {
 	return func(l *Listener) { l.headBytes = f }
@@ -84,8 +88,13 @@
 		}
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok && c != nil && !c.becomeBusy() {
-			panic(http.ErrAbortHandler)
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok && c != nil {
+			if !c.becomeBusy() {
+				panic(http.ErrAbortHandler)
+			}
+			if r.ContentLength != 0 {
+				_ = c.Conn.SetReadDeadline(c.listener.now().Add(bodyTimeout)) // fails only if the connection is closed already
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})
--- a/hostile/clients_test.go
+++ b/hostile/clients_test.go
@@ -316,3 +316,24 @@
 	is.True(response.Header.Get("Retry-After") != "")
 	w.assertWithinBounds(t)
 }
+
+// TestAbandonedBodies guards against requests that hold the connections of a listener forever, as their handlers don't wait for the bodies that
+// never come. The clients stay connected while the ordinary requests are made.
+func TestAbandonedBodies(t *testing.T) {
+	const connections = 200
+	for listener, path := range map[string]string{"callers": "/nowhere", "peers": "/nowhere", "ready": platform.ReadyPath, "metrics": "/metrics"} {
+		t.Run(listener, func(t *testing.T) {
+			w := newMesh(t, 0, memoryMB)
+			for range connections {
+				c := rawClient{conn: dial(w.Address(0, listener))}
+				if c.conn == nil {
+					continue
+				}
+				defer c.conn.Close()
+				_ = c.write("GET " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n") // a refused connection is allowed
+			}
+			w.assertWithinBounds(t)
+			eventually(t, "the listener serves again", func() bool { return w.Get(0, listener, path, "again", nil) != 0 })
+		})
+	}
+}
--- a/sidecar/in_flight.go
+++ b/sidecar/in_flight.go
@@ -1,8 +1,11 @@
 package sidecar
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/jaypitch/jaypitch/memory"
 )
@@ -39,7 +42,17 @@
 		return
 	}
 	defer l.budget.Release(memory.ReceiverBodies, maxControlBytes)
-	r.Body = http.MaxBytesReader(w, r.Body, maxControlBytes)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControlBytes))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	// Without this the read deadline of the body would end the request.
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	l.handler.ServeHTTP(w, r)
 }
 
