--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -74,6 +74,8 @@
 	failingTrialShare = 0.1
 	// deadlineGrace is how long after the deadline the server's response is awaited, since the server may itself respond when the deadline passes.
 	deadlineGrace = 40 * time.Millisecond
+	// memoryRetryAfter is the retry-after of a request for whose body there is no memory: about the time in which bodies in progress end.
+	memoryRetryAfter = 250 * time.Millisecond
 	// defaultSlots is the number of slots until the server's entry in the store is known.
 	defaultSlots = 4
 )
@@ -173,6 +175,11 @@
 		body, err := f.ReadBody()
 		if err != nil {
 			r.abandon(w, started)
+			if e, ok := err.(*jaypitch.Error); ok {
+				response := refusal(e)
+				response.RetryAfter = memoryRetryAfter
+				return response
+			}
 			return refusal(jaypitch.Errorf(jaypitch.CodeBodyCut, "reading the deferred request body failed: %s", err))
 		}
 		f.Body = body
@@ -336,7 +343,12 @@
 	h.Set(r.names.TimeLeftMS, strconv.FormatInt(max(1, f.Deadline.Sub(now).Milliseconds()), 10))
 	h.Set(r.names.ExpectServer, f.ServerID)
 	h.Set(r.names.CallerService, f.CallerService)
-	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: f.Body, AcceptsResponse: func(got http.Header) bool {
+	body := f.Body
+	if f.BodySent != nil {
+		// The request to the server is the last to hold the body.
+		f.Body = nil
+	}
+	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: body, BodySent: f.BodySent, AcceptsResponse: func(got http.Header) bool {
 		id := got.Get(r.names.RequestID)
 		return id == "" || id == f.ID
 	}}
--- a/outbound/ahead_request.go
+++ b/outbound/ahead_request.go
@@ -25,6 +25,8 @@
 	// record and response are set before done is closed.
 	record   Record
 	response *jaypitch.MeshResponse
+	// hold is the memory of the response.
+	hold *responseHold
 }
 
 // maxAheadRequests bounds the requests of all connections that are in progress ahead of their turn, since their responses are held in memory.
@@ -53,20 +55,20 @@
 	return c != nil && c.end()
 }
 
-// serveInTurn returns the response to a request whose turn has come on its connection. If the request was started before, it sets when that
-// was.
-func (h *Handler) serveInTurn(r *http.Request, local LocalState, arrived *time.Time, rec *Record) *jaypitch.MeshResponse {
+// serveInTurn returns the response to a request whose turn has come on its connection, and its memory in hold. If the request was started before,
+// it sets when that was.
+func (h *Handler) serveInTurn(r *http.Request, local LocalState, arrived *time.Time, rec *Record, hold *responseHold) *jaypitch.MeshResponse {
 	c := aheadConnOf(r.Context())
 	if c == nil {
-		return h.respond(r, local, *arrived, rec)
+		return h.respond(r, local, *arrived, rec, hold)
 	}
 	a := c.take(r)
 	c.begin(r, h.startAhead)
 	if a == nil {
-		return h.respond(r, local, *arrived, rec)
+		return h.respond(r, local, *arrived, rec, hold)
 	}
 	response, record := a.await(r.Context())
-	*arrived, *rec = a.arrived, record
+	*arrived, *rec, *hold = a.arrived, record, *a.hold
 	return response
 }
 
@@ -80,7 +82,8 @@
 		return nil
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(current.Context()))
-	a := &aheadRequest{handler: h, request: next, arrived: h.now(), cancel: cancel, taken: make(chan struct{}), done: make(chan struct{}), record: Record{ID: next.Header.Get(h.names.RequestID)}}
+	a := &aheadRequest{handler: h, request: next, arrived: h.now(), cancel: cancel, taken: make(chan struct{}), done: make(chan struct{}), record: Record{ID: next.Header.Get(h.names.RequestID)},
+		hold: &responseHold{memory: h.responses}}
 	h.startedAhead.Add(1)
 	h.inProgress.Add(1)
 	go a.run(ctx)
@@ -105,13 +108,15 @@
 	h := a.handler
 	defer h.inProgress.Add(-1)
 	defer h.ahead.Add(-1)
-	a.response = h.respond(a.request.WithContext(ctx), h.localState(), a.arrived, &a.record)
+	a.response = h.respond(a.request.WithContext(ctx), h.localState(), a.arrived, &a.record, a.hold)
+	a.hold.settle(a.response)
 	close(a.done)
 	select {
 	case <-a.taken:
 	case <-ctx.Done():
 		if !a.wasTaken() {
 			a.response.Discard()
+			a.hold.release()
 			h.droppedAhead.Add(1)
 		}
 	}
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -1,8 +1,6 @@
 package outbound
 
 import (
-	"errors"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -15,6 +13,7 @@
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/evidence"
 	"github.com/jaypitch/jaypitch/hop"
+	"github.com/jaypitch/jaypitch/memory"
 	"github.com/jaypitch/jaypitch/mesh"
 )
 
@@ -28,7 +27,8 @@
 	record     func(Record)
 	tracker    *evidence.Tracker
 	inProgress atomic.Int64
-	bodyBudget bodyBudget
+	budget     *memory.Budget
+	responses  *responseMemory
 	// ahead is the number of requests in progress ahead of their turn; startedAhead and droppedAhead count them since the start.
 	ahead, startedAhead, droppedAhead atomic.Int64
 
@@ -75,12 +75,12 @@
 	noSettingsRetryAfter = 300 * time.Millisecond
 )
 
-// NewHandler returns the handler of the listener for clients. BudgetBytes bounds the bytes of request bodies in memory; tracker counts
+// NewHandler returns the handler of the listener for clients. Budget bounds the bytes of bodies and responses in memory; tracker counts
 // the requests in progress by rule. Record is called after each request.
-func NewHandler(d *Dispatcher, replica *mesh.Replica, names jaypitch.HeaderNames, localState func() LocalState, budgetBytes int64,
+func NewHandler(d *Dispatcher, replica *mesh.Replica, names jaypitch.HeaderNames, localState func() LocalState, budget *memory.Budget,
 	tracker *evidence.Tracker, now func() time.Time, record func(Record)) *Handler {
 	return &Handler{dispatcher: d, replica: replica, names: names, localState: localState, now: now,
-		record: record, tracker: tracker, bodyBudget: bodyBudget{limit: budgetBytes}, draws: map[string]float64{}, random: rand.Float64}
+		record: record, tracker: tracker, budget: budget, responses: &responseMemory{budget: budget, expected: map[string]int64{}}, draws: map[string]float64{}, random: rand.Float64}
 }
 
 // InProgress returns the number of requests in progress.
@@ -96,8 +96,11 @@
 	defer h.inProgress.Add(-1)
 	local := h.localState()
 	rec := Record{ID: r.Header.Get(h.names.RequestID)}
+	hold := &responseHold{memory: h.responses}
+	defer hold.release()
 	setInterim(r.Context(), r.ProtoAtLeast(1, 1), false)
-	response := h.serveInTurn(r, local, &arrived, &rec)
+	response := h.serveInTurn(r, local, &arrived, &rec, hold)
+	hold.settle(response)
 	more := endReadAhead(r)
 	setInterim(r.Context(), false, true)
 	if !more && (local.Stopping || h.localState().Stopping) {
@@ -121,8 +124,8 @@
 	}
 }
 
-// respond matches the request to a rule, dispatches it and returns the response. It fills in rec.
-func (h *Handler) respond(r *http.Request, local LocalState, arrived time.Time, rec *Record) (response *jaypitch.MeshResponse) {
+// respond matches the request to a rule, dispatches it and returns the response. It fills in rec, and reserves the response's memory in hold.
+func (h *Handler) respond(r *http.Request, local LocalState, arrived time.Time, rec *Record, hold *responseHold) (response *jaypitch.MeshResponse) {
 	t := h.replica.Table()
 	rec.Version = t.Version
 	if t.Version == 0 || local.Unconfirmed {
@@ -140,14 +143,18 @@
 	if e := checkHead(r, t.Limits.GetHeaderBytes()); e != nil {
 		return jaypitch.NotExecutedResponse(e.Code, "%s", e.Reason)
 	}
-	body, e := h.readBody(r, t.Limits.GetBodyBytes())
+	f := &jaypitch.MeshRequest{ID: rec.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host,
+		Rule: rule.GetName(), Rank: rule.GetRank(), Idempotent: rule.GetIdempotent(), Download: rule.GetDownload(), CallerService: local.Service}
+	h.setDeadlines(f, r, rule, arrived)
+	body, e := h.readBody(r, t.Limits.GetBodyBytes(), f)
 	if e != nil {
 		return jaypitch.NotExecutedResponse(e.Code, "%s", e.Reason)
 	}
-	defer h.bodyBudget.release(len(body))
-	f := &jaypitch.MeshRequest{ID: rec.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: hop.EndToEndHeader(r.Header), Body: body,
-		Rule: rule.GetName(), Rank: rule.GetRank(), Idempotent: rule.GetIdempotent(), Download: rule.GetDownload(), CallerService: local.Service}
-	h.setDeadlines(f, r, rule, arrived)
+	defer body.Release()
+	if !hold.reserve(rule.GetName(), memory.Claim{Rank: f.Rank, TimeLeft: f.Deadline.Sub(h.now()), Own: body.Held()}) {
+		return jaypitch.NotExecutedResponse(jaypitch.CodeTooManyCalls, "the memory budget has no room for the response")
+	}
+	f.Body, f.Header = body.Data, hop.EndToEndHeader(r.Header)
 	if !local.EndsAt.IsZero() && f.Deadline.After(local.EndsAt) {
 		return jaypitch.NotExecutedResponse(jaypitch.CodeStopping, "the sidecar may stop before the deadline of the request")
 	}
@@ -200,39 +207,6 @@
 	return next
 }
 
-// readBody reads a complete body and reserves its bytes in the body budget. It refuses a body over the limit of the configuration, in
-// bytes, or over the budget. A limit of zero means no limit. The caller releases the body.
-func (h *Handler) readBody(r *http.Request, limit int64) ([]byte, *jaypitch.Error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit > 0 && r.ContentLength > limit {
-		return nil, jaypitch.Errorf(jaypitch.CodeBodyTooLarge, "the body has %d bytes; at most %d are allowed", r.ContentLength, limit)
-	}
-	in := &budgetedBody{budget: &h.bodyBudget, reader: r.Body}
-	if limit > 0 {
-		in.reader = io.LimitReader(r.Body, limit+1)
-	}
-	// The last byte is for the read that finds the end of the body.
-	if !in.reserve(max(r.ContentLength, minBodyBytes) + 1) {
-		return nil, jaypitch.Errorf(jaypitch.CodeTooManyCalls, "%s", errBodyBudget)
-	}
-	body, err := io.ReadAll(in)
-	in.settle()
-	switch {
-	case errors.Is(err, errBodyBudget):
-		h.bodyBudget.release(len(body))
-		return nil, jaypitch.Errorf(jaypitch.CodeTooManyCalls, "%s", err)
-	case err != nil:
-		h.bodyBudget.release(len(body))
-		return nil, jaypitch.Errorf(jaypitch.CodeBodyCut, "the body ended early: %s", err)
-	case limit > 0 && int64(len(body)) > limit:
-		h.bodyBudget.release(len(body))
-		return nil, jaypitch.Errorf(jaypitch.CodeBodyTooLarge, "the body has more than the %d bytes allowed", limit)
-	}
-	return body, nil
-}
-
 // status returns the HTTP status for the client. CodeDeadline gets 503 instead of the status in its Info: clients take 504 for a
 // request that may have been executed, but a refusal guarantees that the request was not executed and never will be.
 func (h *Handler) status(r *jaypitch.MeshResponse) int {
--- a/outbound/stream_test.go
+++ b/outbound/stream_test.go
@@ -24,6 +24,7 @@
 	"github.com/jaypitch/jaypitch/hop"
 	"github.com/jaypitch/jaypitch/http1"
 	"github.com/jaypitch/jaypitch/inbound"
+	"github.com/jaypitch/jaypitch/memory"
 	"github.com/jaypitch/jaypitch/mesh"
 	"github.com/jaypitch/jaypitch/platform"
 	"github.com/jaypitch/jaypitch/route"
@@ -179,7 +180,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	clients := NewServer(NewHandler(d, s, platform.HeaderNames, func() LocalState { return LocalState{} }, 1<<20, evidence.NewTracker(), time.Now,
+	clients := NewServer(NewHandler(d, s, platform.HeaderNames, func() LocalState { return LocalState{} }, memory.NewBudget(1<<20), evidence.NewTracker(), time.Now,
 		func(r Record) { g.codes <- r.Response.Code }))
 	t.Cleanup(func() { _ = clients.Close() })
 	go func() { _ = clients.Serve(NewListener(l, s, time.Now)) }()
--- a/sidecar/loops.go
+++ b/sidecar/loops.go
@@ -73,6 +73,7 @@
 	c.backendPool.CloseExpired()
 	c.peerPool.CloseExpired()
 	c.sweepLink()
+	c.memory.observe()
 	for kind, n := range c.logBudget.TakeSuppressed() {
 		c.log.Info("lines left out", zap.String("kind", kind), zap.Int64("lines", n))
 	}
