Run the tests with hostile clients after the others, by themselves

Their bounds are on memory and descriptors of processes, and the users ask for one such test at a time, apart from other load. go test runs packages side by side, so make test runs ./hostile as a step of its own, without the race detector: it starts programs built without it.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 	$(GO) run $(STATICCHECK) ./...
 	$(GO) run $(REVIVE) -config revive.toml -set_exit_status -exclude schema/... ./...
 	@if [ -f KNOWN-RED.txt ]; then echo "not run, see KNOWN-RED.txt:"; cat KNOWN-RED.txt; fi
-	$(GO) test -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) test -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $$($(GO) list ./... | grep -v /hostile$$)
+	$(GO) test $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./hostile
 
 # Runs each fuzz test for TIME. What it finds is written to the package's testdata and belongs in a commit.
 fuzz:
