jaypitch where explains where a request would go now, without sending it

An operator who asked why a request went to another data centre, or was refused, had log lines of past requests only. The metrics listener of a sidecar serves /where: rule, destinations with their shares, each server's cost by term, why it is skipped and for how long, and the code and Retry-After of a refusal. The command prints it as a table or JSON. The total is that of the picker's own cost function, so that terms added there later show as other.

--- a/cmd/jaypitch/root.go
+++ b/cmd/jaypitch/root.go
@@ -86,6 +86,6 @@
 		return nil
 	}
 	root.AddCommand(nodeCommand(), checkCommand(o), statusCommand(o), evidenceCommand(o), routesCommand(o),
-		drainCommand(o), diffCommand(o), watchCommand(o), burnCommand(o), explainCommand(o), timelineCommand())
+		drainCommand(o), diffCommand(o), watchCommand(o), burnCommand(o), explainCommand(o), timelineCommand(), whereCommand(o))
 	return root
 }
--- a/cmd/jaypitch/scenario_test.go
+++ b/cmd/jaypitch/scenario_test.go
@@ -193,6 +193,9 @@
 		{[]string{"status", "--output", "xml"}, []string{"410 usage", "table and json"}},
 		{[]string{"evidence"}, []string{"410 usage", "is needed"}},
 		{[]string{"evidence", "--route", "filing"}, []string{"410 usage", "TEAM/ROUTE"}},
+		{[]string{"where"}, []string{"410 usage", "PATH or --rule"}},
+		{[]string{"where", "one"}, []string{"410 usage", "slash"}},
+		{[]string{"where", "--rule", "r", "--host", "h"}, []string{"410 usage", "--host"}},
 		{[]string{"unknown"}, []string{"410 usage"}},
 	}
 	for _, c := range cases {
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -155,6 +155,18 @@
 	return strings.TrimSuffix(strings.TrimPrefix(host, "["), "]")
 }
 
+// RuleNamed returns the rule with a name; nil if there is none.
+func (t *Table) RuleNamed(name string) *Rule {
+	for _, rules := range t.rules {
+		for _, r := range rules {
+			if r.GetName() == name {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
 // HasRule reports whether the table has a rule with exactly this host and prefix, or any rule of the host if the prefix is empty.
 func (t *Table) HasRule(host, prefix string) bool {
 	for _, r := range t.rules[host] {
--- a/sidecar/listen.go
+++ b/sidecar/listen.go
@@ -53,6 +53,7 @@
 	operators.Handle("/", c.metrics.handler())
 	operators.HandleFunc("GET /evidence", c.handleEvidence)
 	operators.HandleFunc("GET /burn", c.handleBurn)
+	operators.HandleFunc("GET /where", c.handleWhere)
 	servers := []*http.Server{
 		outbound.NewServer(c.handler),
 		{Handler: c.peerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout},
