Replay of calls that are less urgent than the requests beside them

The patterns of admit/load_test.go have no calling services, so the rule for calls never applied to them. The existing patterns and checks are unchanged.

--- a/admit/load_test.go
+++ b/admit/load_test.go
@@ -18,8 +18,9 @@
 	// call is the rule of the call that a share of the requests make while they run, callShare. A request whose call is refused fails.
 	call      string
 	callShare float64
-	// host is the host that sends the requests.
-	host string
+	// host is the host that sends the requests, and callers are the services of the hosts that do, drawn at random.
+	host    string
+	callers []string
 }
 
 // loadCount is what became of the requests of one kind.
@@ -108,6 +109,9 @@
 func (r *loadReplay) arrive(k *loadKind, parent *loadRequest) {
 	q := &loadRequest{kind: k, slot: slotRequest(k.rule, k.rank, r.now, k.target, k.timeout), arrived: r.now, parent: parent}
 	q.slot.CallerHost = k.host
+	if len(k.callers) > 0 {
+		q.slot.CallerService = k.callers[r.random.IntN(len(k.callers))]
+	}
 	r.counts[k.rule].asked++
 	started, e := r.slots[k.service].Admit(q.slot, r.now)
 	switch {
