--- a/route/overload_test.go
+++ b/route/overload_test.go
@@ -493,12 +493,13 @@
 			}
 		}
 	}) {
-		used := time.Duration(0)
+		used, most := time.Duration(0), time.Duration(0)
 		for _, v := range r.services[s].Servers {
-			used += r.byID[v.GetId()].used
+			used, most = used+r.byID[v.GetId()].used, max(most, r.byID[v.GetId()].used)
 		}
 		room := r.duration * time.Duration(len(r.services[s].Servers)*r.deployment.slots)
-		t.Logf("%s: busiest server %.2f of its fair share, slots in use %.3f", s, r.busiest(s), float64(used)/float64(room))
+		t.Logf("%s: busiest server %.2f of its fair share, slots in use %.3f, at most %.2f times the mean", s, r.busiest(s), float64(used)/float64(room),
+			float64(most)*float64(len(r.services[s].Servers))/float64(used))
 	}
 	t.Logf("worth %.4f, attempts %d, elsewhere %.3f, shed %d, after the first second %d, twice %d, held back %d", r.worth(), r.attempts, float64(r.elsewhere)/float64(r.attempts), r.shed, r.shedLate, r.shedTwice, r.heldBack)
 }
@@ -549,6 +550,7 @@
 func TestRefusingServersCostAttempts(t *testing.T) {
 	for _, service := range []string{"a", "b"} {
 		t.Run(service, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			r := replayOverload(halfRefusing(service))
 			r.log(t)
@@ -561,6 +563,7 @@
 // TestCallsOfBegunWorkAreRefused guards against refusing a call, which wastes the slot of the request that made it, rather than a request that hasn't
 // begun: at most 2 in 100 of each kind fail for a call under an overload of 1.2.
 func TestCallsOfBegunWorkAreRefused(t *testing.T) {
+	t.Parallel()
 	r := replayOverload(fourServices())
 	r.log(t)
 	for _, k := range r.kinds {
@@ -573,6 +576,7 @@
 
 // TestUnevenServersShareLoad guards against a server that gets over 1.3 times its fair share by speed.
 func TestUnevenServersShareLoad(t *testing.T) {
+	t.Parallel()
 	r := replayOverload(unevenServers())
 	r.log(t)
 	for service := range r.services {
