--- a/sidecar/listen.go
+++ b/sidecar/listen.go
@@ -56,6 +56,7 @@
 	queries := &inFlightLimit{handler: http.HandlerFunc(c.handleQuery), most: maxQueries}
 	operators.Handle("GET /evidence", queries)
 	operators.Handle("GET /burn", queries)
+	operators.HandleFunc("GET /where", c.handleWhere)
 	servers := []*http.Server{
 		outbound.NewServer(c.handler),
 		{Handler: c.peerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout},
