--- a/standin/recovery.go
+++ b/standin/recovery.go
@@ -30,8 +30,8 @@
 
 // PutServerEntry writes a server's entry.
 func (s *Store) PutServerEntry(e ServerEntry) int64 {
-	return s.putJSON("servers/"+e.ID, map[string]any{"address": e.Address, "born": e.BornMS, "version": "v1",
-		"info":   map[string]any{"service": e.Service, "zone": e.DataCentre, "slots": e.Slots},
+	return s.putJSON("servers/"+e.ID, map[string]any{"address": e.Address, "born": e.BornMS,
+		"info":   map[string]any{"service": e.Service, "version": "v1", "zone": e.DataCentre, "slots": e.Slots},
 		"status": map[string]any{"state": "ready", "seq": e.Seq, "coldRemainingS": e.Cold.Seconds()}})
 }
 
