Refuse requests of a full listener after they were read

A full listener whose connections all had requests in progress wrote 503 to a new connection before its request. Go's client drops such a response as one that it didn't ask for, and a sidecar can't tell it from one of another program. Up to 16 connections over the limit stay open now until their request is read; other sidecars get it refused as not executed (105). TestOverflow guards it; TestAbandonedBodies passes without messages of dropped responses.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -15,7 +15,9 @@
 type conn struct {
 	net.Conn
 	listener *Listener
-	phase    atomic.Int32
+	// over is true for a connection over the limit: its request is refused, and it is in no list.
+	over  bool
+	phase atomic.Int32
 	// readAhead counts the lines in the last read of a body. They may belong to the head of the next request.
 	readAhead atomic.Int64
 
@@ -52,7 +54,7 @@
 	refusalTimeout = 10 * time.Millisecond
 
 	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	unavailable  = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	unavailable  = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfter + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
 // refuse writes a refusal and closes a connection, from which no complete head was read.
@@ -150,7 +152,7 @@
 	c.unlist()
 	c.phase.Store(phase)
 	c.since, c.head = c.listener.now(), 0
-	if to != nil {
+	if to != nil && !c.over {
 		c.element = to.PushBack(c)
 	}
 }
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -75,6 +75,33 @@
 	is.Equal(closed, int64(1))
 }
 
+// TestOverflow guards against a full listener that closes a connection without a response, or without a bound on those that it refuses.
+func TestOverflow(t *testing.T) {
+	is := is.New(t)
+	l, connect := fixture(memory.NewBudget(1<<20), 1)
+	_, busy := connect()
+	busy.becomeBusy()
+	var over []*conn
+	for range maxOverflow {
+		_, c := connect()
+		is.True(c.over)
+		over = append(over, c)
+	}
+	client, server := net.Pipe()
+	is.True(l.admit(server) == nil)
+	is.NoErr(client.Close())
+	busy.becomeIdle()
+	_, next := connect()
+	is.True(!next.over)
+	for _, c := range over {
+		is.NoErr(c.Close())
+	}
+	is.Equal(l.overflow, 0)
+	open, _, refused := l.Counts()
+	is.Equal(open, int64(1))
+	is.Equal(refused, int64(maxOverflow+1))
+}
+
 // TestProbesWhileMemoryIsShort guards against bodies that shut out probes: a connection and a short head don't need free memory.
 func TestProbesWhileMemoryIsShort(t *testing.T) {
 	is := is.New(t)
--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -24,8 +24,9 @@
 
 	closed, refused atomic.Int64
 
-	mu   sync.Mutex
-	open int
+	mu sync.Mutex
+	// open counts the connections without those over the limit, which overflow counts.
+	open, overflow int
 	// reading holds the connections without a complete head, idle those between two requests; the longest is first in each.
 	reading, idle list.List
 }
@@ -41,6 +42,10 @@
 	connectionBytes = 24 << 10
 	// guaranteed is the number of connections that get memory also while it is short, so that probes and ordinary clients aren't shut out by bodies.
 	guaranteed = 32
+	// maxOverflow is how many connections over the limit are open so that their requests get a refusal. A refusal before the request would be
+	// dropped by many clients as one that they didn't ask for.
+	maxOverflow = 16
+	retryAfter  = "0.500"
 	// defaultHeadBytes bounds a head if no limit is configured. It is four times the limit of the platform's configuration.
 	defaultHeadBytes = 64 << 10
 )
@@ -68,8 +73,15 @@
 	return out
 }
 
-// Attach sets the hooks of a server, so that its connections know when a head is complete and when a request has ended.
-func Attach(s *http.Server) {
+// Refuse refuses a request with 503.
+func Refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", retryAfter)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Attach sets the hooks of a server, so that its connections know when a head is complete and when a request has ended. Requests of connections
+// over the limit go to refusal.
+func Attach(s *http.Server, refusal http.HandlerFunc) {
 	handler, connState, connContext := s.Handler, s.ConnState, s.ConnContext
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if connContext != nil {
@@ -95,6 +107,11 @@
 			if r.ContentLength != 0 {
 				_ = c.Conn.SetReadDeadline(c.listener.now().Add(bodyTimeout)) // fails only if the connection is closed already
 			}
+			if c.over {
+				w.Header().Set("Connection", "close")
+				refusal(w, r)
+				return
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})
@@ -124,22 +141,29 @@
 		if out := l.admit(c); out != nil {
 			return out, nil
 		}
-		l.refused.Add(1)
-		refuse(c, unavailable)
+		_ = c.Close() // nothing was read from it
 	}
 }
 
 // admit returns the connection, or nil if there is no room for it.
 func (l *Listener) admit(c net.Conn) *conn {
 	l.mu.Lock()
-	if l.open >= l.most && !l.makeRoom() || !l.reserve() {
-		l.mu.Unlock()
-		return nil
-	}
 	defer l.mu.Unlock()
-	l.open++
-	out := &conn{Conn: c, listener: l, since: l.now()}
-	out.element = l.reading.PushBack(out)
+	over := l.open >= l.most && !l.makeRoom() || !l.reserve()
+	if over {
+		l.refused.Add(1)
+		if l.overflow >= maxOverflow {
+			return nil
+		}
+		l.overflow++
+		l.budget.Hold(memory.Connections, connectionBytes)
+	} else {
+		l.open++
+	}
+	out := &conn{Conn: c, listener: l, since: l.now(), over: over}
+	if !over {
+		out.element = l.reading.PushBack(out)
+	}
 	return out
 }
 
@@ -175,7 +199,11 @@
 		return
 	}
 	c.unlist()
-	l.open--
+	if c.over {
+		l.overflow--
+	} else {
+		l.open--
+	}
 	l.budget.Release(memory.Connections, connectionBytes)
 	l.budget.Release(memory.Heads, reserved(c.charge))
 	c.charge = 0
--- a/hop/server.go
+++ b/hop/server.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// Refuse refuses a request as not executed, since the sidecar has too many connections.
+func (s *Server) Refuse(w http.ResponseWriter, _ *http.Request) {
+	r := jaypitch.NotExecutedResponse(jaypitch.CodeOverloaded, "the sidecar has too many connections")
+	r.RetryAfter = memoryRetryAfter
+	if err := s.write(w, r); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) *jaypitch.MeshResponse {
 	f, e := s.parseRequest(r)
 	if e != nil {
--- a/sidecar/listen.go
+++ b/sidecar/listen.go
@@ -64,7 +64,11 @@
 	}
 	bounded := c.memory.listeners(l, c.configuredHeadBytes, c.now)
 	for i, listener := range []net.Listener{outbound.NewListener(bounded[0], c.replica, c.now), bounded[1], bounded[2], bounded[3]} {
-		connlimit.Attach(servers[i])
+		refusal := connlimit.Refuse
+		if i == peersListener {
+			refusal = c.peerServer.Refuse
+		}
+		connlimit.Attach(servers[i], refusal)
 		servers[i].BaseContext = func(net.Listener) context.Context { return ctx }
 		c.wg.Add(1)
 		go (&serveTask{server: servers[i], listener: listener, wg: &c.wg}).run()
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -27,6 +27,8 @@
 }
 
 const (
+	// peersListener is the index of the listener for other sidecars in listenerNames.
+	peersListener = 1
 	// reservedFiles is the number of descriptors that are kept for files, the store and the server's connections.
 	reservedFiles = 200
 	// minConnections is the least number of connections of a listener, and maxProbeConnections the most of those for probes and metrics, which
