--- a/admit/slots.go
+++ b/admit/slots.go
@@ -13,6 +13,10 @@
 	// Rank is the priority class; 0 is the most urgent.
 	Rank int64
 	Rule string
+	// CallerService is the service of the host that sent the request; empty if unknown.
+	CallerService string
+	// CallerHost is the address of the host that sent the request; empty for this one.
+	CallerHost string
 	// Deadline is when the client or the rule times out, TargetDeadline the end of the rule's latency target, and
 	// CompleteBy when the next best server would have completed the request; zero if no other server is better.
 	Deadline, TargetDeadline, CompleteBy time.Time
@@ -23,10 +27,11 @@
 	started time.Time
 }
 
-// Slots assigns the slots of one backend server, and keeps to the rate limit that the server names. Of the requests that can still meet
+// Slots assigns the slots of one backend server, and keeps to its rate limits: the one that it names, and the one while it is cold. Of the requests that can still meet
 // their target, the one with the earliest target deadline goes first, and a request that can't complete by its deadline doesn't start.
 // Long requests leave the slots free that more urgent ones need; see slotsFor. Once the queue has not been empty for a while, requests are
-// refused at random, with a probability that grows with the queue and is somewhat higher for less urgent ranks. It isn't safe for
+// refused at random, with a probability that grows with the queue and is somewhat higher for less urgent ranks, and higher for a caller that
+// asks for more than its fair share of its rank. It isn't safe for
 // concurrent use.
 type Slots struct {
 	size       int
@@ -36,13 +41,15 @@
 	// meanServiceUS is the mean service time of all rules' requests, in microseconds.
 	meanServiceUS float64
 	random        func() float64
-	// pacer holds the limit that the server names.
-	pacer Pacer
+	// pacer holds the limit that the server names, and the one while it is cold.
+	pacer pacers
 	// lastEmpty is when a request last arrived at an empty queue.
 	lastEmpty time.Time
 	// reservations are those at reservedAt, which is zero if they have to be computed again; see reservationsAt.
 	reservations []reservation
 	reservedAt   time.Time
+	// callerLoads tells which callers ask for more than their fair share.
+	callerLoads callerLoads
 }
 
 // ruleStats describes the requests of one rule.
@@ -55,6 +62,8 @@
 	// load is the number of slots that the rule's arrivals keep in use, a moving average over about loadTime, as it was at loadAt.
 	load   float64
 	loadAt time.Time
+	// callers tells whether the rule is one of calls.
+	callers callerStats
 }
 
 const (
@@ -88,7 +97,8 @@
 	s.size = max(1, size)
 }
 
-// Reset discards the measured service times and the rate limit, for a new server at the same address.
+// Reset discards the measured service times and the rate limit, for a new server at the same address. The pace of a cold server stays: requests that
+// name different servers may reach the same one.
 func (s *Slots) Reset() {
 	s.rules, s.meanServiceUS = map[string]*ruleStats{}, slotsInitialMeanUS
 	s.pacer.Clear()
@@ -114,9 +124,9 @@
 	return s.pacer.Wait(len(s.queue)+1, now)
 }
 
-// NextStart returns when the rate limit allows the next queued request to start; zero if none is queued, or if it waits for a slot.
+// NextStart returns when the rate limit allows the next queued request to start; zero if none is queued, or if all wait for a slot.
 func (s *Slots) NextStart(now time.Time) time.Time {
-	if !s.pacer.Limited() || len(s.queue) == 0 || len(s.inProgress) >= s.size {
+	if !s.pacer.limitedAt(now) || len(s.inProgress) >= s.size || s.nextIndex(now) < 0 {
 		return time.Time{}
 	}
 	return now.Add(s.pacer.Wait(1, now))
@@ -282,6 +292,8 @@
 		s.rules[w.Rule] = r
 	}
 	r.rank, r.target = w.Rank, w.TargetDeadline.Sub(w.arrived)
+	r.callers.record(w.CallerService)
+	s.callerLoads.record(w.callerKey(), s.MeanServiceTime(w.Rule), w.arrived)
 	r.addLoad(s.MeanServiceTime(w.Rule), w.arrived)
 	s.reservedAt = time.Time{}
 }
@@ -299,7 +311,11 @@
 		return nil
 	}
 	limit := s.maxQueueTime(w, now)
-	backlog := s.backlog(w, now)
+	factor := s.callerLoads.queueFactor(w.callerKey())
+	if factor > 1 {
+		limiting += fmt.Sprintf("; the queue counts %.1f times, since host %q asks for more than its fair share", factor, w.CallerHost)
+	}
+	backlog := scale(s.backlog(w, now), factor)
 	if probability := (float64(backlog)/float64(limit) - refusalStart) / (1 - refusalStart); s.random() < probability {
 		return jaypitch.Errorf(code, "the queue has not been empty for %s and takes %s to empty; the limit is %s%s", now.Sub(s.lastEmpty), backlog, limit, limiting)
 	}
@@ -310,7 +326,7 @@
 // request wait longer.
 func (s *Slots) limitingFactor(w *SlotRequest, now time.Time) (jaypitch.Code, string) {
 	if slotTime, limitTime := s.expectedQueueTimes(w, now); limitTime > slotTime {
-		return jaypitch.CodeServerLimit, fmt.Sprintf("; by its limit the server takes a request every %s", s.pacer.Interval())
+		return jaypitch.CodeServerLimit, fmt.Sprintf("; by its limit the server takes a request every %s", s.pacer.intervalAt(now))
 	}
 	return jaypitch.CodeOverloaded, ""
 }
@@ -344,14 +360,23 @@
 
 // backlog is the queue time that decides whether a request is refused at random: that of the queued requests which start before it or are at
 // least as urgent. A less urgent one that starts later doesn't delay it, but counts as one more request like it, so that kinds of about the
-// same length are refused alike. It doesn't count if the slots that w needs are reserved.
+// same length are refused alike. It doesn't count if the slots that w needs are reserved. For a call, which a server makes while it executes a
+// request, what isn't a call doesn't count at all if it is of the call's rank or a less urgent one, and else as one more request like the call:
+// a refused call wastes the slot of the request that made it.
 func (s *Slots) backlog(w *SlotRequest, now time.Time) time.Duration {
 	var sum time.Duration
-	n := 0
+	n, isCall := 0, s.calls(w.Rule)
+	cold := s.pacer.coldAt(now)
 	for _, o := range s.queue {
 		mean := s.MeanServiceTime(o.Rule)
+		if isCall && !s.calls(o.Rule) {
+			if o.Rank >= w.Rank {
+				continue
+			}
+			mean = min(mean, s.MeanServiceTime(w.Rule))
+		}
 		if o.Rank > w.Rank && !s.startsBefore(o, w, now) {
-			if s.slotsFor(o.Rule, now) < s.size {
+			if cold || s.slotsFor(o.Rule, now) < s.size {
 				continue
 			}
 			mean = min(mean, s.MeanServiceTime(w.Rule))
@@ -359,7 +384,7 @@
 		sum += mean
 		n++
 	}
-	return max(sum/time.Duration(s.slotsFor(w.Rule, now)), time.Duration(n)*s.pacer.Interval())
+	return max(sum/time.Duration(s.slotsFor(w.Rule, now)), s.pacer.backlogTime(n, now))
 }
 
 // free reports whether a slot is free and the rate limit allows a request to start.
@@ -384,8 +409,12 @@
 	return first
 }
 
-// startsBefore reports whether a starts before b: those that can still meet their target come first, then the earlier target deadline.
+// startsBefore reports whether a starts before b: those that can still meet their target come first, then the earlier target deadline. While the
+// server is cold it bears a number of requests, however long they take, so the most urgent rank comes first.
 func (s *Slots) startsBefore(a, b *SlotRequest, now time.Time) bool {
+	if a.Rank != b.Rank && s.pacer.coldAt(now) {
+		return a.Rank < b.Rank
+	}
 	if lateA, lateB := s.late(a, now), s.late(b, now); lateA != lateB {
 		return lateB
 	}
--- a/hop/client.go
+++ b/hop/client.go
@@ -20,9 +20,6 @@
 const (
 	// maxBufferedBody is the size in bytes from which a response body is streamed instead of buffered.
 	maxBufferedBody = 256 << 10
-	// probeTimeout bounds a liveness probe. It leaves time for many round trips within a region and for one pause of a machine that is
-	// throttled by its CPU quota.
-	probeTimeout = 200 * time.Millisecond
 	// ProbePath is the path at which a sidecar responds to the liveness probes of others.
 	ProbePath = "/alive"
 )
@@ -35,7 +32,7 @@
 }
 
 // Forward sends a request to the sidecar at an address and returns its response, or one with the code of the failure. A body of
-// maxBufferedBody bytes or more continues in the response's Stream, which the caller closes.
+// maxBufferedBody bytes or more, and all of a download, continues in the response's Stream, which the caller closes.
 func (c *Client) Forward(ctx context.Context, address string, f *jaypitch.MeshRequest) *jaypitch.MeshResponse {
 	started := c.now()
 	a, err := c.pool.Do(ctx, address, c.request(f))
@@ -47,7 +44,13 @@
 		_ = a.Body.Close()
 		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeUnknown, "the sidecar's response cannot be parsed: %s", e.Reason)
 	}
+	response.SetHead(f.Method, a)
 	response.NetworkTime = c.now().Sub(started) - response.ServiceTime - response.QueueTime
+	a.Body = c.observeBody(a.Body, f)
+	if response.Execution == jaypitch.Executed && f.StreamsResponse(a.StatusCode, a.ContentLength) {
+		response.Stream, response.Length, response.Download = a.Body, max(0, a.ContentLength), true
+		return response
+	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody))
 	if err != nil {
 		_ = a.Body.Close()
@@ -65,9 +68,9 @@
 	return response
 }
 
-// Probe checks that the sidecar at an address is alive. If the probe fails, the pool's connections to the address are closed.
-func (c *Client) Probe(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+// Probe checks that the sidecar at an address is alive and responds within a time. If the probe fails, the pool's connections to the address are closed.
+func (c *Client) Probe(ctx context.Context, address string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	a, err := c.pool.Do(ctx, address, &http1.Request{Method: http.MethodGet, Target: ProbePath, Host: address})
 	if err != nil {
@@ -88,7 +91,7 @@
 	if notice := formatRequestNotice(f, now); notice != "" {
 		h[headerNotice] = []string{notice}
 	}
-	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: f.Body, ExpectContinue: f.ExpectContinue}
+	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: f.Body, ExpectContinue: f.ExpectContinue || len(f.Body) >= offerBytes}
 }
 
 // errorResponse returns the response for an attempt that failed with a transport error.
@@ -97,12 +100,16 @@
 	switch {
 	case errors.As(err, &e) && !e.Sent && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return jaypitch.NotExecutedResponse(jaypitch.CodeDeadline, "the request could not be sent to the sidecar before the deadline")
+	case errors.As(err, &e) && !e.Sent && errors.Is(context.Cause(ctx), jaypitch.ErrStopping):
+		return jaypitch.NotExecutedResponse(jaypitch.CodeStopping, "the sidecar stopped before the request was sent")
 	case errors.As(err, &e) && !e.Sent && ctx.Err() != nil:
 		return jaypitch.NotExecutedResponse(jaypitch.CodeCallerGone, "the client closed the connection before the request was sent")
 	case errors.As(err, &e) && !e.Sent:
 		return jaypitch.NotExecutedResponse(jaypitch.CodeUnreachable, "no connection to the sidecar: %s", err)
 	case errors.Is(context.Cause(ctx), jaypitch.ErrSuperseded):
 		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeCallerGone, "%s", jaypitch.ErrSuperseded)
+	case errors.Is(context.Cause(ctx), jaypitch.ErrStopping):
+		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeUnknown, "the sidecar stopped before the response")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeAnswerTooLate, "the sidecar did not respond before the deadline")
 	case ctx.Err() != nil:
@@ -118,6 +125,7 @@
 		return nil, e
 	}
 	parseResponseNotice(a.Header.Get(headerNotice), r)
+	translateClientCode(r)
 	if r.Execution != jaypitch.Executed {
 		r.Reason = "the sidecar of the server answered " + r.Code.Info().Name
 	}
--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -66,7 +66,7 @@
 		Header: http.Header{"Id": {"one"}, "Other": {"x", "y"}}, Body: []byte("body"),
 		Rule: "r;1", Rank: 2, Idempotent: true, ServerID: "i-1", CallerService: "s;v",
 		Deadline: fixedNow().Add(time.Second), TargetDeadline: fixedNow().Add(time.Second / 2), CompleteBy: fixedNow().Add(time.Millisecond), Revision: 7, Era: jaypitch.Era{Number: 3, Known: true},
-		LimitHeardAt: fixedNow().Add(-3 * time.Second), RateLimit: 2.5}
+		LimitHeardAt: fixedNow().Add(-3 * time.Second), RateLimit: 2.5, NoTrial: true}
 }
 
 func TestForwardRoundTrip(t *testing.T) {
@@ -74,11 +74,13 @@
 	want := &jaypitch.MeshResponse{Execution: jaypitch.Executed, Code: jaypitch.CodeOK, Arrived: true, Status: http.StatusTeapot,
 		Header: http.Header{"Stamp": {"z"}}, Body: []byte("answer"), ServiceTime: 3 * time.Millisecond, QueueTime: time.Millisecond,
 		LoadReport: jaypitch.MeshLoadReport{InProgress: 1, Queued: 2, Slots: 3, Mean: time.Second, Failing: 0.25,
-			Stopping: true, Leaving: true, Limited: true, RateLimit: 18.8, LimitWait: 40 * time.Millisecond, Revision: 9, Era: jaypitch.Era{Number: 2, Known: true}, SourceAge: time.Second}}
+			Stopping: true, Leaving: true, Refusing: true, Answering: "i;1 =", Limited: true, RateLimit: 18.8, LimitWait: 40 * time.Millisecond, Revision: 9, Era: jaypitch.Era{Number: 2, Known: true}, SourceAge: time.Second}}
 	a := &fakeReceiver{response: want}
 	c, address := newClient(t, a)
 	got := c.Forward(context.Background(), address, request())
-	is.Equal(a.got, request())
+	received := request()
+	received.CallerHost = "127.0.0.1"
+	is.Equal(a.got, received)
 	is.Equal(got.Header.Get("Stamp"), "z")
 	is.Equal(got.NetworkTime, -4*time.Millisecond)
 	got.Header, got.NetworkTime = want.Header, 0
@@ -86,7 +88,7 @@
 }
 
 func TestForwardRefused(t *testing.T) {
-	for _, code := range []jaypitch.Code{jaypitch.CodeOverloaded, jaypitch.CodeServerLimit, jaypitch.CodeStopping, jaypitch.CodeMisdirected} {
+	for _, code := range []jaypitch.Code{jaypitch.CodeOverloaded, jaypitch.CodeServerLimit, jaypitch.CodeEvacuated, jaypitch.CodeStopping, jaypitch.CodeMisdirected} {
 		t.Run(code.Info().Name, func(t *testing.T) {
 			is := is.New(t)
 			c, address := newClient(t, &fakeReceiver{response: &jaypitch.MeshResponse{Execution: jaypitch.NotExecuted, Code: code, RetryAfter: time.Second}})
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -2,13 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -22,6 +22,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// BodySent is called once a long body has been sent completely, and is no longer held by the request. It may be nil.
+	BodySent func()
 	// ExpectContinue sends the body only after a 100 Continue (RFC 9110, section 10.1.1), so that no body is sent if the server refuses the request.
 	ExpectContinue bool
 	// AcceptsResponse reports whether a response with this header belongs to the request. Other responses are skipped. Nil accepts all.
@@ -70,9 +72,9 @@
 
 // bodyWriter sends a long body in a goroutine, since the server may respond before it has read the whole body.
 type bodyWriter struct {
-	conn *Conn
-	data []byte
-	done chan error
+	conn    *Conn
+	request *Request
+	done    chan error
 }
 
 const (
@@ -86,6 +88,8 @@
 	// maxSkippedBytes limits the body of a response to another request that is skipped. A longer one may have no end.
 	maxSkippedBytes = 1 << 20
 	readBufferBytes = 4 << 10
+	// headGrowBytes is the size of most heads that are sent.
+	headGrowBytes = 512
 )
 
 var (
@@ -123,8 +127,8 @@
 // send writes the head and, unless it is withheld, the body.
 func (x *exchange) send() error {
 	r := x.request
-	var b strings.Builder
-	b.Grow(512 + len(r.Body))
+	var b bytes.Buffer
+	b.Grow(headGrowBytes)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&b); err != nil {
 		return err
@@ -138,9 +142,10 @@
 	b.WriteString("\r\n")
 	inline := !x.awaitingContinue && len(r.Body) <= maxInlineBodyBytes
 	if inline {
+		// The copy of a short body saves a packet. net.Buffers would save both, but the race detector takes no note of writev.
 		b.Write(r.Body)
 	}
-	n, err := io.WriteString(x.conn.net, b.String())
+	n, err := x.conn.net.Write(b.Bytes())
 	x.conn.writtenBytes.Add(int64(n))
 	if err != nil || inline || x.awaitingContinue {
 		return err
@@ -151,12 +156,16 @@
 
 // sendBody starts a goroutine that writes the body while the response is read.
 func (x *exchange) sendBody() {
-	x.writer = &bodyWriter{conn: x.conn, data: x.request.Body, done: make(chan error, 1)}
+	x.writer = &bodyWriter{conn: x.conn, request: x.request, done: make(chan error, 1)}
 	go x.writer.run()
 }
 
 func (w *bodyWriter) run() {
-	_, err := w.conn.net.Write(w.data)
+	_, err := w.conn.net.Write(w.request.Body)
+	if err == nil && w.request.BodySent != nil {
+		w.request.Body = nil
+		w.request.BodySent()
+	}
 	w.done <- err
 }
 
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jaypitch/jaypitch"
@@ -29,12 +30,17 @@
 	now       func() time.Time
 	record    func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, queueTime time.Duration)
 	random    func() float64
+	links     links
+	// streams is the number of downloads that are being read from the server.
+	streams atomic.Int64
 
 	mu       sync.Mutex
 	slots    *admit.Slots
 	serverID string
-	// failing is the moving average of the share of failed requests, by rule.
-	failing  map[string]float64
+	// failing is the share of failed requests, by rule.
+	failing map[string]admit.FailureShare
+	// refusals holds the rules whose requests the server refuses without executing them.
+	refusals admit.ServerRefusals
 	stopping bool
 	// notice is the latest notice of the server with serverID. Until noticed is true, the server has not responded to this process, and the
 	// notice is what a sender reported, if any did.
@@ -43,26 +49,24 @@
 	// wakeTimer starts the queued requests that wait for the rate limit; nil before the first one.
 	wakeTimer *time.Timer
 
+	// dataCentre and unconfirmed are the arguments of WithDataCentre and WithUnconfirmed.
+	dataCentre  string
+	unconfirmed func() bool
+	cold        coldServer
+
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 	recordNotice func(serverID string, n jaypitch.ServerNotice)
 	refuseNotice func(serverID string, e *jaypitch.Error)
+	recordAnswer func(mesh.Answer)
 }
 
 // Option configures a Receiver.
 type Option func(*Receiver)
 
-// stream is the rest of a response body that is too long to buffer. The request holds its slot until the stream is closed.
-type stream struct {
-	io.ReadCloser
-	release func()
-}
-
 const (
 	// maxBufferedBody is the size in bytes of the longest response body of known length that is buffered. A body of unknown length is
 	// streamed from this size.
 	maxBufferedBody = 256 << 10
-	// failingWeight is the weight of the newest request in the share of failed requests.
-	failingWeight = 0.1
 	// failingLimit is the share of failed requests above which a rule's requests with a complete-by time are refused, so that the sender
 	// retries them at another server.
 	failingLimit = 0.15
@@ -70,6 +74,8 @@
 	failingTrialShare = 0.1
 	// deadlineGrace is how long after the deadline the server's response is awaited, since the server may itself respond when the deadline passes.
 	deadlineGrace = 40 * time.Millisecond
+	// memoryRetryAfter is the retry-after of a request for whose body there is no memory: about the time in which bodies in progress end.
+	memoryRetryAfter = 250 * time.Millisecond
 	// defaultSlots is the number of slots until the server's entry in the store is known.
 	defaultSlots = 4
 )
@@ -79,7 +85,8 @@
 func NewReceiver(address string, names jaypitch.HeaderNames, replica *mesh.Replica, sourceAge func() time.Duration, pool *http1.Pool, now func() time.Time,
 	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, queueTime time.Duration), options ...Option) *Receiver {
 	r := &Receiver{address: address, names: names, replica: replica, sourceAge: sourceAge, pool: pool, now: now, record: record,
-		slots: admit.NewSlots(defaultSlots, rand.Float64), random: rand.Float64, failing: map[string]float64{}}
+		slots: admit.NewSlots(defaultSlots, rand.Float64), random: rand.Float64, failing: map[string]admit.FailureShare{}}
+	r.recordAnswer = func(a mesh.Answer) { replica.RecordAnswer(a, now()) }
 	for _, o := range options {
 		o(r)
 	}
@@ -107,18 +114,32 @@
 	return r.slots.InProgress(), r.slots.Queued(), r.slots.Size()
 }
 
+// Queued returns the numbers of queued requests by rank and calling service.
+func (r *Receiver) Queued() map[admit.Caller]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.slots.QueuedByCaller()
+}
+
 // Serve admits a request, sends it to the server and returns the response, or a refusal. The caller closes the response's Stream.
 func (r *Receiver) Serve(ctx context.Context, f *jaypitch.MeshRequest) *jaypitch.MeshResponse {
 	arrived := r.now()
-	w := &admit.SlotRequest{Rank: f.Rank, Rule: f.Rule, Deadline: f.Deadline, TargetDeadline: f.TargetDeadline,
+	w := &admit.SlotRequest{Rank: f.Rank, Rule: f.Rule, CallerService: f.CallerService, CallerHost: f.CallerHost, Deadline: f.Deadline, TargetDeadline: f.TargetDeadline,
 		CompleteBy: f.CompleteBy, Decision: make(chan *jaypitch.Error, 1)}
 	server := r.replica.Table().Servers[f.ServerID]
-	response := r.admit(ctx, f, w)
+	transfer, response := r.links.admitTransfer(f)
+	if response == nil {
+		response = r.admit(ctx, f, w)
+	}
 	queueTime := r.now().Sub(arrived)
 	if response == nil {
 		response = r.send(ctx, f, w, server)
 	}
 	response.LoadReport, response.QueueTime = r.loadReport(f), queueTime
+	if !f.Local && (f.Download || r.replica.Table().Downloads) {
+		r.links.finish(ctx, f, response, transfer)
+		r.links.report(f, &response.LoadReport)
+	}
 	r.record(f, response, queueTime)
 	return response
 }
@@ -130,7 +151,11 @@
 	}
 	r.mu.Lock()
 	r.adoptLimit(f)
-	if failing := r.failing[f.Rule]; failing > failingLimit && !f.CompleteBy.IsZero() && r.random() > failingTrialShare {
+	if e := r.refusals.Admit(f.Rule, !f.NoTrial, r.now()); e != nil {
+		r.mu.Unlock()
+		return refusal(e)
+	}
+	if failing := r.failing[f.Rule].At(r.now()); failing > failingLimit && !f.CompleteBy.IsZero() && r.random() > failingTrialShare {
 		r.mu.Unlock()
 		return refusal(jaypitch.Errorf(jaypitch.CodeFailing, "the backend server failed %.2f of the latest requests of rule %q", failing, f.Rule))
 	}
@@ -150,9 +175,18 @@
 		body, err := f.ReadBody()
 		if err != nil {
 			r.abandon(w, started)
+			if e, ok := err.(*jaypitch.Error); ok {
+				response := refusal(e)
+				response.RetryAfter = memoryRetryAfter
+				return response
+			}
 			return refusal(jaypitch.Errorf(jaypitch.CodeBodyCut, "reading the deferred request body failed: %s", err))
 		}
 		f.Body = body
+		if e := r.checkServer(f); e != nil {
+			r.abandon(w, started)
+			return refusal(e)
+		}
 	}
 	if started {
 		return nil
@@ -169,7 +203,7 @@
 	select {
 	case e = <-w.Decision:
 	case <-ctx.Done():
-		e = jaypitch.Errorf(jaypitch.CodeCallerGone, "the sender canceled the queued request")
+		e = queueCanceled(ctx)
 	case <-t.C:
 		e = jaypitch.Errorf(jaypitch.CodeDeadline, "the deadline passed while the request was queued")
 	}
@@ -177,7 +211,12 @@
 		r.abandon(w, false)
 		return refusal(e)
 	}
-	if e := r.checkServer(f); e != nil {
+	e = r.checkServer(f)
+	if e == nil && ctx.Err() != nil {
+		// The slot was granted at the same time.
+		e = queueCanceled(ctx)
+	}
+	if e != nil {
 		r.releaseSlot(w, 0)
 		return refusal(e)
 	}
@@ -205,13 +244,17 @@
 	}
 }
 
-// checkServer refuses a request if the sidecar is stopping, or if the server is draining or not listed in the replica. An unlisted
+// checkServer refuses a request if the sidecar is stopping, or if the server is draining, not listed in the replica or in an evacuated data
+// centre. An unlisted
 // server is accepted if the sender holds a newer position.
 func (r *Receiver) checkServer(f *jaypitch.MeshRequest) *jaypitch.Error {
 	position := r.replica.Position()
 	senderIsNewer := r.replica.Comparable(f.Position()) && f.Position().Compare(position) > 0
 	t := r.replica.Table()
 	v := t.Servers[f.ServerID]
+	if e := r.checkAdmissible(t, v); e != nil {
+		return e
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -224,7 +267,10 @@
 	case v != nil && v.GetDraining():
 		return jaypitch.Errorf(jaypitch.CodeStopping, "server %q is draining", f.ServerID)
 	}
-	r.updateServer(f.ServerID, v)
+	r.observeTable(t)
+	if id := t.Answering(r.address); id == "" || id == f.ServerID {
+		r.updateServer(f.ServerID, v)
+	}
 	return nil
 }
 
@@ -232,17 +278,15 @@
 // the measurements of the previous one.
 func (r *Receiver) updateServer(id string, v *schema.MeshServer) {
 	if r.serverID != id {
-		r.serverID = id
-		r.slots.Reset()
-		clear(r.failing)
-		r.notice, r.noticed = jaypitch.ServerNotice{}, false
+		r.resetServer(id)
+		r.observeUnlisted(v)
 	}
 	if v != nil {
 		r.slots.Resize(int(v.GetSlots()))
 	}
 }
 
-// send sends the request to the server. The request holds its slot until the response is read completely or its stream is closed.
+// send sends the request to the server. The request holds its slot until the response is read completely or its stream ends or is closed.
 // Server is the server's entry from before the request was sent; nil if it wasn't listed.
 func (r *Receiver) send(ctx context.Context, f *jaypitch.MeshRequest, w *admit.SlotRequest, server *schema.MeshServer) *jaypitch.MeshResponse {
 	started := r.now()
@@ -250,22 +294,33 @@
 	a, err := r.pool.Do(ctx, r.address, r.request(f, started))
 	if err != nil {
 		response := r.errorResponse(ctx, err)
+		r.observeFailure(ctx, err)
 		cancel()
 		r.recordResult(w, response, 0)
 		return response
 	}
 	response := r.classify(f, a)
+	r.observeResponse(a.Header, started)
+	r.observeAnswer(f, a.Header, response)
 	r.observeNotice(f, a.Header, response, server)
+	if response.Execution == jaypitch.Executed && f.StreamsResponse(a.StatusCode, a.ContentLength) {
+		r.stream(ctx, w, a, response, started, cancel)
+		return response
+	}
 	if response.Execution == jaypitch.Executed {
+		response.SetHead(f.Method, a)
 		body, more, err := readBody(a)
 		response.Body = body
 		if err != nil {
+			r.observeFailure(ctx, err)
 			response = jaypitch.ExecutionUnknownResponse(jaypitch.CodeSpoiled, "the response was truncated: %s", err)
 		} else if more {
-			response.Stream = &stream{ReadCloser: a.Body, release: func() {
+			response.Stream = a.Body
+			response.LimitStream(f.Deadline.Add(deadlineGrace))
+			response.ReleaseAfterStream(func() {
 				cancel()
 				r.releaseSlot(w, 0)
-			}}
+			})
 			return response
 		}
 	}
@@ -288,7 +343,12 @@
 	h.Set(r.names.TimeLeftMS, strconv.FormatInt(max(1, f.Deadline.Sub(now).Milliseconds()), 10))
 	h.Set(r.names.ExpectServer, f.ServerID)
 	h.Set(r.names.CallerService, f.CallerService)
-	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: f.Body, AcceptsResponse: func(got http.Header) bool {
+	body := f.Body
+	if f.BodySent != nil {
+		// The request to the server is the last to hold the body.
+		f.Body = nil
+	}
+	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: body, BodySent: f.BodySent, AcceptsResponse: func(got http.Header) bool {
 		id := got.Get(r.names.RequestID)
 		return id == "" || id == f.ID
 	}}
@@ -299,6 +359,8 @@
 	switch {
 	case errors.As(err, &e) && !e.Sent:
 		return jaypitch.NotExecutedResponse(jaypitch.CodeUnreachable, "no connection to the backend server: %s", err)
+	case errors.Is(context.Cause(ctx), jaypitch.ErrStopping):
+		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeUnknown, "the sidecar stopped while the server processed the request")
 	case ctx.Err() == context.Canceled:
 		return jaypitch.ExecutionUnknownResponse(jaypitch.CodeCallerGone, "the sender canceled the request while the server processed it")
 	case ctx.Err() != nil:
@@ -390,17 +452,30 @@
 
 // recordResult updates the rule's share of failed requests and releases the slot.
 func (r *Receiver) recordResult(w *admit.SlotRequest, response *jaypitch.MeshResponse, serviceTime time.Duration) {
-	failed := 0.0
+	failed := false
 	if response.Execution != jaypitch.Executed && response.Code != jaypitch.CodeCallerGone && response.Code != jaypitch.CodeMisdirected ||
 		response.Status >= http.StatusInternalServerError && response.Status != http.StatusGatewayTimeout {
-		failed, serviceTime = 1, 0
+		failed, serviceTime = true, 0
 	}
 	r.mu.Lock()
-	r.failing[w.Rule] += failingWeight * (failed - r.failing[w.Rule])
+	r.recordFailure(w.Rule, failed, response)
 	r.mu.Unlock()
 	r.releaseSlot(w, serviceTime)
 }
 
+// recordFailure updates the rule's share of failed requests. Those that the server refused don't count as long as it refuses all, since
+// the rule's requests are held back then. The caller holds the lock.
+func (r *Receiver) recordFailure(rule string, failed bool, response *jaypitch.MeshResponse) {
+	share := r.failing[rule]
+	share.Record(failed, r.now())
+	r.failing[rule] = share
+	if response.Code == jaypitch.CodeShed || response.Execution == jaypitch.Executed {
+		if r.refusals.Record(rule, response.Code == jaypitch.CodeShed, r.now()) || r.refusals.Refusing(rule, r.now()) {
+			delete(r.failing, rule)
+		}
+	}
+}
+
 // releaseSlot releases a slot and starts the queued requests that fit now. A service time of zero doesn't count towards the means.
 func (r *Receiver) releaseSlot(w *admit.SlotRequest, serviceTime time.Duration) {
 	r.mu.Lock()
@@ -411,6 +486,7 @@
 
 // startQueued starts the queued requests that fit now and refuses those that expired. The caller holds the lock.
 func (r *Receiver) startQueued() {
+	r.startProbe()
 	start, expired := r.slots.Next(r.now())
 	for _, s := range start {
 		s.Decision <- nil
@@ -424,7 +500,7 @@
 // scheduleWake sets the timer for the next queued request that waits for the rate limit. The caller holds the lock.
 func (r *Receiver) scheduleWake() {
 	now := r.now()
-	at := r.slots.NextStart(now)
+	at := r.nextWake(now)
 	switch {
 	case at.IsZero():
 	case r.wakeTimer == nil:
@@ -448,20 +524,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := jaypitch.MeshLoadReport{InProgress: r.slots.InProgress(), Queued: r.slots.Queued(), Slots: r.slots.Size(),
-		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule], Stopping: r.stopping, Leaving: leaving, Revision: position.Revision, Era: position.Era, SourceAge: age}
-	if r.notice.Limited {
-		report.Limited, report.RateLimit, report.LimitWait = true, r.notice.RateLimit, r.slots.LimitWait(r.now())
+		Mean: r.slots.ExpectedServiceTime(f.Rule, r.now()), Failing: r.failing[f.Rule].At(r.now()), Refusing: r.refusals.Refusing(f.Rule, r.now()), Stopping: r.stopping, Leaving: leaving,
+		Answering: r.replica.Table().Answering(r.address), Revision: position.Revision, Era: position.Era, SourceAge: age}
+	if rate, limited := r.slots.RateLimit(r.now()); limited {
+		if r.notice.Limited {
+			rate = min(rate, r.notice.RateLimit)
+		}
+		report.Limited, report.RateLimit, report.LimitWait = true, rate, r.slots.LimitWait(r.now())
 	}
 	return report
 }
 
-// Close closes the stream and releases the slot.
-func (s *stream) Close() error {
-	err := s.ReadCloser.Close()
-	s.release()
-	return err
-}
-
 // readBody reads a response's body, or the first maxBufferedBody bytes of it. More is true if the rest may follow.
 func readBody(a *http.Response) (body []byte, more bool, err error) {
 	if a.ContentLength > 0 && a.ContentLength <= maxBufferedBody {
--- a/jaypitch.go
+++ b/jaypitch.go
@@ -3,9 +3,9 @@
 // A proxy runs as a sidecar beside each backend server. It distributes configuration and forwards requests. There are two
 // families of packages. The node family reads teams' documents and host lists: package node, with backend, caller,
 // idempotency, operator, peer, settings, source and topology. The sidecar family reads the configuration of a mesh: package
-// sidecar, with hop, inbound, mesh, meshpeer, outbound and platform. The other packages serve both. Types of the sidecar
+// sidecar, with hop, inbound, link, mesh, meshpeer, outbound, platform and transfer. The other packages serve both. Types of the sidecar
 // family that have a counterpart in the node family carry the prefix Mesh. Packages that decide (admit, burn, evidence,
-// idempotency, mesh, route, settings, topology) have no sockets, goroutines or clocks; adapters are named for their peer or
+// idempotency, link, mesh, route, settings, topology) have no sockets, goroutines or clocks; adapters are named for their peer or
 // protocol.
 //
 // # Terms
@@ -37,6 +37,9 @@
 //   - picker: chooses the server of an attempt; it ejects hosts that fail
 //   - retry budget: bound on retries in proportion to requests
 //   - probe: a health or liveness check; unresponsive: no reply to requests or probes for a while ("silent" in reports)
+//   - transfer: a large response that waits for its turn on a host's network link
+//   - cold: of a server, bearing few requests after a start under traffic; warm otherwise
+//   - evacuated: of a data centre, whose servers get no requests until the operators take that back
 //   - draining, stopping: a server that takes no new requests and finishes the rest; a proxy in the same state
 //
 // Configuration:
@@ -47,6 +50,7 @@
 //   - refused revision: an invalid revision of a document; the accepted one stays
 //   - tombstone: the record of a deleted document or server; compaction: the store's removal of old history
 //   - rule, destination: a route of the mesh; one of its services with a weight ("part" in messages)
+//   - contested address: an address that the entries of several servers name; the server that answers there decides which one counts
 //   - replica: a proxy's copy of the store's content, merged by revision from the store and peers
 //   - table: the routing table built from the replica, replaced as a whole; withdrawn: a declared route that can't be served
 //   - parent, child: the node that another polls for changes, and the node that polls
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -16,7 +16,9 @@
 	// Version is the version of the configuration; zero if the replica has none.
 	Version int64
 	Limits  *schema.MeshLimits
-	// Services holds the services that have servers for new requests, by name.
+	// Downloads is true if the configuration has a rule with large responses.
+	Downloads bool
+	// Services holds the services that have servers for new requests, by name. Servers in evacuated data centres get none.
 	Services map[string]*Service
 	// Servers holds all servers in use by ID, including draining ones.
 	Servers map[string]*schema.MeshServer
@@ -26,10 +28,19 @@
 	// named holds the services that the configuration names; nil without a configuration.
 	named map[string]bool
 	// leaving holds the IDs of the servers that stated that they are leaving.
-	leaving   map[string]bool
+	leaving map[string]bool
+	// evacuations holds the evacuated data centres, evacuatedServices the services that have servers there which would get requests otherwise.
+	evacuations       map[string]Evacuation
+	evacuatedServices map[string]bool
+
+	// contested holds the addresses that several servers in use share, and answering the ID of the server that answers there, if that is known.
+	contested map[string]bool
+	answering map[string]string
 	rules     ruleIndex
-	byAddress map[string]*schema.MeshServer
 	hostCount int
+	// byAddress holds the server in use at each address: the one that answers there or, as long as that is unknown, the newest one, if possible
+	// of a service that the configuration names.
+	byAddress map[string]*schema.MeshServer
 }
 
 // ruleIndex holds the rules by host, those with the longest prefix first.
@@ -42,28 +53,27 @@
 	cumulativeWeights []int64
 }
 
-// Service is a service with its servers that may get new requests, in order of ID: not draining, and the newest at their address.
+// Service is a service with its servers that may get new requests, in order of ID; see candidates.
 type Service struct {
 	Name    string
 	Servers []*schema.MeshServer
 }
 
-func newTable(c *schema.MeshConfig, rules ruleIndex, servers []*schema.MeshServer) *Table {
+// newTable returns the table of a configuration and the servers in use. Answering holds the IDs of the servers that answer, by address.
+func newTable(c *schema.MeshConfig, rules ruleIndex, servers []*schema.MeshServer, answering map[string]string, evacuations map[string]Evacuation) *Table {
 	t := &Table{Version: c.GetVersion(), Limits: c.GetLimits(), Services: map[string]*Service{}, Servers: make(map[string]*schema.MeshServer, len(servers)),
-		rules: rules, byAddress: make(map[string]*schema.MeshServer, len(servers))}
+		rules: rules, evacuations: evacuations, evacuatedServices: map[string]bool{}, byAddress: make(map[string]*schema.MeshServer, len(servers))}
+	t.Downloads = slices.ContainsFunc(c.GetRules(), (*schema.MeshRule).GetDownload)
 	t.nameServices(c)
-	slices.SortFunc(servers, t.compareAtAddress)
 	hosts := map[netip.Addr]bool{}
 	for _, v := range servers {
 		t.Servers[v.GetId()] = v
-		// The last in this order replaces the others at an address: addresses are reused.
-		t.byAddress[v.GetAddress()] = v
 		if a, err := netip.ParseAddrPort(v.GetAddress()); err == nil {
 			hosts[a.Addr()] = true
 		}
 	}
 	t.hostCount = len(hosts)
-	t.addServices(servers)
+	t.addServices(t.candidates(servers, answering))
 	return t
 }
 
@@ -82,18 +92,6 @@
 	}
 }
 
-// compareAtAddress orders servers by how much their entries count at an address: those of services that the configuration names after the others,
-// which another writer may have made, and newer ones after older ones.
-func (t *Table) compareAtAddress(a, b *schema.MeshServer) int {
-	if named := t.Names(a.GetService()); named != t.Names(b.GetService()) {
-		if named {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Or(cmp.Compare(a.GetRevision(), b.GetRevision()), cmp.Compare(a.GetId(), b.GetId()))
-}
-
 // Names reports whether the configuration names a service. Without a configuration it reports true.
 func (t *Table) Names(service string) bool {
 	return t.named == nil || t.named[service]
@@ -117,7 +115,8 @@
 
 func (t *Table) addServices(servers []*schema.MeshServer) {
 	for _, v := range servers {
-		if v.GetDraining() || t.byAddress[v.GetAddress()] != v {
+		if t.Evacuated(v.GetDataCentre()) {
+			t.evacuatedServices[v.GetService()] = true
 			continue
 		}
 		s := t.Services[v.GetService()]
@@ -155,6 +154,18 @@
 	return strings.TrimSuffix(strings.TrimPrefix(host, "["), "]")
 }
 
+// RuleNamed returns the rule with a name; nil if there is none.
+func (t *Table) RuleNamed(name string) *Rule {
+	for _, rules := range t.rules {
+		for _, r := range rules {
+			if r.GetName() == name {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
 // HasRule reports whether the table has a rule with exactly this host and prefix, or any rule of the host if the prefix is empty.
 func (t *Table) HasRule(host, prefix string) bool {
 	for _, r := range t.rules[host] {
@@ -165,6 +176,11 @@
 	return false
 }
 
+// ServerAt returns the server in use at an address; nil if there is none.
+func (t *Table) ServerAt(address string) *schema.MeshServer {
+	return t.byAddress[address]
+}
+
 // Leaving reports whether a server in use stated that it is leaving.
 func (t *Table) Leaving(id string) bool {
 	return t.leaving[id]
--- a/mesh_request.go
+++ b/mesh_request.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// minStreamedBytes is the shortest response of a download that is streamed.
+const minStreamedBytes = 16 << 10
+
 // MeshRequest is a request that the sender's sidecar forwards to the sidecar beside the chosen backend server.
 type MeshRequest struct {
 	ID     string
@@ -19,6 +22,9 @@
 	// ReadBody reads the body once the request is admitted, since the sender waits for that before it sends the body.
 	// It is nil if Body holds the body already.
 	ReadBody func() ([]byte, error)
+	// BodySent is called once the server has got the whole body. The receiver doesn't use the body afterwards, so that its memory can be returned.
+	// It is nil if the body is needed longer.
+	BodySent func()
 	// ExpectContinue makes the sender wait with the body until the receiver has admitted the request.
 	ExpectContinue bool
 	// Rule is the name of the rule that matched.
@@ -27,10 +33,16 @@
 	Rank int64
 	// Idempotent is true if the request may be executed more than once.
 	Idempotent bool
+	// Download is true if the response is probably large. It is passed on as it arrives.
+	Download bool
+	// Local is true if the server is on the sender's host, so that request and response don't use the host's link.
+	Local bool
 	// ServerID is the ID of the only server that may execute the request.
 	ServerID string
 	// CallerService is the service of the host that sent the request.
 	CallerService string
+	// CallerHost is the address of the host that sent the request, as the receiver sees it; empty if that is the receiver's own.
+	CallerHost string
 	// Deadline is when the client or the rule times out.
 	Deadline time.Time
 	// TargetDeadline is the end of the rule's latency target for the request.
@@ -39,6 +51,8 @@
 	// sidecar refuses a request that it would complete later, or that is likely to fail, so that the sender retries it at the
 	// next best server.
 	CompleteBy time.Time
+	// OnBytes is called by the sender now and then while bytes of the response arrive; nil if nobody needs to know.
+	OnBytes func()
 	// Revision is the store's revision that the sender holds, Era its era.
 	Revision int64
 	Era      Era
@@ -46,6 +60,14 @@
 	// is zero if the sender knows of no limit. A receiver that has just started keeps to the limit until a response of the server tells it.
 	LimitHeardAt time.Time
 	RateLimit    float64
+	// NoTrial is true if a server has refused the request already, so that it isn't used to try whether another one still refuses all.
+	NoTrial bool
+}
+
+// StreamsResponse reports whether the response of a backend server, with a status and a length in bytes, is passed on as it arrives. Short ones
+// and errors are buffered, so that the sender may retry. A length below zero is unknown.
+func (f *MeshRequest) StreamsResponse(status int, length int64) bool {
+	return f.Download && f.Method != http.MethodHead && status < http.StatusInternalServerError && (length < 0 || length >= minStreamedBytes)
 }
 
 // Position returns the position of the sender's replica.
@@ -70,9 +92,18 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Head is true for a response to HEAD, which has no body. HeadLength is the Content-Length that it announces, empty if it announces none.
+	Head       bool
+	HeadLength string
 	// Stream follows Body in a long response; nil otherwise. Its Read fails if the response is truncated.
-	Stream     Stream
-	LoadReport MeshLoadReport
+	Stream Stream
+	// Length is the number of bytes of Stream if Body is empty; zero if it is unknown.
+	Length int64
+	// Download is true if Stream is broken off once the reader takes nothing for a time, and is passed on as it arrives.
+	Download bool
+	// StreamUntil is the time at which the stream ends at the latest. A client that reads too slowly must not hold it longer.
+	StreamUntil time.Time
+	LoadReport  MeshLoadReport
 	// ServiceTime is the time that the server took for the request.
 	ServiceTime time.Duration
 	// NetworkTime is the part of the attempt's duration, measured by the sender, in which the request was neither queued nor at the server.
@@ -107,15 +138,23 @@
 	Mean time.Duration
 	// Failing is the share of the rule's latest requests that failed at the server, from 0 to 1.
 	Failing float64
+	// Refusing is true if the server refused all of the rule's latest requests without executing them. Failing is zero then.
+	Refusing bool
 	// Stopping is true if the sidecar accepts no new requests.
 	Stopping bool
 	// Leaving is true if the server stated in a response that it is leaving.
 	Leaving bool
+	// Answering is the ID of the server that answers at the receiver's address, if several entries of the store name that; empty otherwise.
+	Answering string
 	// Limited is true if the server names a rate limit, RateLimit, in requests per second from all hosts together. LimitWait is the time
 	// until the limit has room for a further request. Both are set only if Limited.
 	Limited   bool
 	RateLimit float64
 	LimitWait time.Duration
+	// LinkRate is the rate in bytes per second at which the receiver sends large responses over its host's link; zero if it is unknown, or if the request
+	// isn't a download and the link isn't full. LinkWait is the time until the large responses that it has accepted have left.
+	LinkRate float64
+	LinkWait time.Duration
 	// Revision is the store's revision that the receiver holds, Era its era, and SourceAge the time since the store confirmed it.
 	Revision  int64
 	Era       Era
--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -31,6 +31,11 @@
 	record       func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int)
 	// decodeNotice returns what a server states about itself; nil if the platform's servers state nothing.
 	decodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
+	links        links
+
+	// beginAttempt is the argument of WithDataCentreCounts.
+	beginAttempt func(dataCentre string) (end func())
+	recordAnswer func(mesh.Answer)
 
 	mu     sync.Mutex
 	picker *route.MeshPicker
@@ -50,8 +55,10 @@
 	excluded []string
 	// sent counts all attempts, arrived those that may have reached a server.
 	sent, arrived int
-	// overloaded counts the attempts that were refused with CodeOverloaded or CodeServerLimit.
+	// overloaded counts the attempts that were refused with CodeOverloaded, CodeServerLimit or CodeLinkFull.
 	overloaded int
+	// refused is true once a server refused the request, or its receiver did so in its place.
+	refused bool
 	// best is the response to return unless a further attempt has a better one; see keepBest.
 	best *jaypitch.MeshResponse
 	// retryAfter is the shortest time after which a receiver expects room; zero if none reported one.
@@ -85,6 +92,7 @@
 	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int), options ...Option) *Dispatcher {
 	d := &Dispatcher{localAddress: localAddress, peerAddress: peerAddress, replica: replica, forwarder: forwarder, local: local,
 		picker: picker, budget: budget, now: now, record: record, hedgeable: map[string]map[*hedgeable]bool{}}
+	d.recordAnswer = func(a mesh.Answer) { replica.RecordAnswer(a, now()) }
 	for _, o := range options {
 		o(d)
 	}
@@ -103,17 +111,17 @@
 	d.picker.Prune(t)
 }
 
-// Do makes the attempts of a request and returns the response for the client. The attempts are canceled
+// Do makes the attempts of a request and returns the response for the client. The attempts and the response's stream are canceled
 // responseGrace after the deadline.
 func (d *Dispatcher) Do(ctx context.Context, f *jaypitch.MeshRequest, rule *mesh.Rule, service string) *jaypitch.MeshResponse {
 	ctx, cancel := context.WithTimeout(ctx, f.Deadline.Sub(d.now())+responseGrace)
-	defer cancel()
 	a := &attempts{rule: rule, service: service}
 	d.recordRequest(service)
 	for a.sent < attemptLimit {
 		pick := d.pick(a, f)
 		if pick.Server == nil {
 			a.recordNoServer(pick)
+			d.recordEvacuated(a)
 			break
 		}
 		out := d.requestFor(a, f, pick)
@@ -122,7 +130,10 @@
 			break
 		}
 	}
-	return a.result()
+	r := a.result()
+	r.LimitStream(f.Deadline.Add(responseGrace))
+	r.ReleaseAfterStream(cancel)
+	return r
 }
 
 // requestFor returns a copy of the request for the sidecar beside the chosen server.
@@ -132,7 +143,9 @@
 	p := d.replica.Position()
 	out.Revision, out.Era = p.Revision, p.Era
 	out.CompleteBy = d.completeBy(a, pick)
+	out.NoTrial = a.refused
 	out.ExpectContinue = pick.ExpectContinue
+	out.OnBytes = func() { d.recordBytes(out.ServerID) }
 	out.LimitHeardAt, out.RateLimit = pick.LimitHeardAt, pick.RateLimit
 	return &out
 }
@@ -148,9 +161,12 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	pick := d.picker.Pick(d.replica.Table().Services[a.service], route.PickRequest{Rule: a.rule.GetName(), Rank: a.rule.GetRank(), LatencyTarget: a.rule.LatencyTarget(),
-		BodyBytes: len(f.Body), Deadline: f.Deadline, Excluded: a.excluded}, now)
+		BodyBytes: len(f.Body), Deadline: f.Deadline, Download: f.Download, TargetDeadline: f.TargetDeadline, Regions: a.rule.GetRegions(), Excluded: a.excluded, NoTrial: a.refused}, now)
 	if pick.Server != nil {
 		d.picker.Start(pick.Server, now)
+		if f.Download {
+			d.picker.StartDownload(pick.Server, f.Rule, now)
+		}
 	}
 	return pick
 }
@@ -188,30 +204,38 @@
 		return r
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	u := &hedgeable{ctx: ctx, cancel: cancel, attempts: a, request: f}
 	d.register(v.GetId(), u)
 	r := d.send(attemptCtx, f, v)
+	r.ReleaseAfterStream(func() { cancel(nil) })
 	second := d.unregister(v.GetId(), u)
 	if !superseded(attemptCtx) {
 		d.finish(v, a.rule, r)
 	} else {
 		d.cancel(v)
+		if r.Stream != nil {
+			// Its context has ended, so that it breaks off. The hedge has a response.
+			r.Discard()
+			r = jaypitch.ExecutionUnknownResponse(jaypitch.CodeCallerGone, "%s", jaypitch.ErrSuperseded)
+		}
 	}
 	a.sent++
 	d.record(f, r, a.sent)
-	return second.selectResponse(a, r)
+	return second.selectResponse(attemptCtx, a, r)
 }
 
 // send forwards a request to the sidecar beside a server, or to the local receiver.
 func (d *Dispatcher) send(ctx context.Context, f *jaypitch.MeshRequest, v *schema.MeshServer) *jaypitch.MeshResponse {
+	defer d.begin(v)()
 	if v.GetAddress() == d.localAddress {
+		f.Local = true
 		return d.local.Serve(ctx, f)
 	}
-	r := d.forwarder.Forward(ctx, d.peerAddress(v.GetAddress()), f)
+	r := d.forward(ctx, f, v)
 	if r.LoadReport.Leaving || d.statesLeaving(r) {
 		d.replica.RecordLeaving(v, d.now())
 	}
+	d.observeAnswer(v, r)
 	return r
 }
 
@@ -262,11 +286,15 @@
 	if r.Execution != jaypitch.NotExecuted && !a.rule.GetIdempotent() {
 		return false
 	}
-	if r.Code != jaypitch.CodeBusy && r.Code != jaypitch.CodeFailing {
+	a.refused = a.refused || r.Code == jaypitch.CodeShed || r.LoadReport.Refusing
+	if r.Code != jaypitch.CodeBusy && r.Code != jaypitch.CodeFailing || r.LoadReport.Refusing {
 		// After busy or failing the server may be chosen again: the load report of its refusal has updated the picker's estimate.
 		a.excluded = append(a.excluded, server)
 	}
-	if r.Code == jaypitch.CodeOverloaded || r.Code == jaypitch.CodeServerLimit {
+	if r.Code == jaypitch.CodeEvacuated {
+		a.excluded = append(a.excluded, d.serversBeside(server, a.service)...)
+	}
+	if r.Code == jaypitch.CodeOverloaded || r.Code == jaypitch.CodeServerLimit || r.Code == jaypitch.CodeLinkFull {
 		if a.overloaded++; a.overloaded >= maxOverloaded {
 			return false
 		}
@@ -306,8 +334,11 @@
 func (a *attempts) recordNoServer(p route.MeshPick) {
 	if p.RetryAfter > 0 {
 		code := jaypitch.CodeOverloaded
-		if p.Limited {
+		switch {
+		case p.Limited:
 			code = jaypitch.CodeServerLimit
+		case p.LinkFull:
+			code = jaypitch.CodeLinkFull
 		}
 		a.keepBest(jaypitch.NotExecutedResponse(code, "no server of service %q has room for rule %q", a.service, a.rule.GetName()))
 		a.retryAfter = max(a.retryAfter, p.RetryAfter)
--- a/outbound/limits.go
+++ b/outbound/limits.go
@@ -22,6 +22,7 @@
 type limitedConn struct {
 	net.Conn
 	listener *Listener
+	watch    closeWatch
 
 	mu    sync.Mutex
 	phase phase
@@ -57,15 +58,27 @@
 // resetOnClose makes the close of a request's connection a reset, so that a client of HTTP/1.0 doesn't take the end of a truncated response, which has
 // no length, for its regular end.
 func resetOnClose(ctx context.Context) {
-	c, ok := ctx.Value(connKey{}).(*limitedConn)
-	if !ok {
-		return
+	if c, ok := ctx.Value(connKey{}).(*limitedConn); ok {
+		c.resetOnClose()
 	}
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+}
+
+func (c *limitedConn) resetOnClose() {
+	if t, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = t.SetLinger(0) // fails only if the connection is closed already
 	}
 }
 
+// Write makes the close of the connection a reset if it fails. The HTTP server closes the connection right after a failed write, before the handler
+// learns of it, and a client of HTTP/1.0 would take a regular end for that of the response.
+func (c *limitedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.resetOnClose()
+	}
+	return n, err
+}
+
 // NewListener returns a listener for NewServer, whose time limits follow the replica's configuration.
 func NewListener(l net.Listener, replica *mesh.Replica, now func() time.Time) *Listener {
 	return &Listener{Listener: l, replica: replica, now: now}
@@ -77,21 +90,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return &limitedConn{Conn: c, listener: l}, nil
+	return &limitedConn{Conn: newAheadConn(c), listener: l}, nil
 }
 
-// recordIdle records that a connection becomes idle. The HTTP server calls it just before it sets the idle deadline.
+// recordIdle records that a connection becomes idle after a response. The HTTP server calls it just before it sets the idle deadline.
 func recordIdle(c net.Conn, s http.ConnState) {
 	if l, ok := c.(*limitedConn); ok && s == http.StateIdle {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.phase = phaseIdle
+		if a, ok := l.Conn.(*aheadConn); ok {
+			a.idle()
+		}
 	}
 }
 
 // SetReadDeadline sets the current configuration's deadline for the phase that begins, or t if the configuration has none. A zero t removes
 // the deadline.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	// The HTTP server aborts its background read by a deadline that has passed.
+	c.watch.setAborted(!t.IsZero() && t.Before(c.listener.now()))
 	if t.IsZero() {
 		return c.Conn.SetReadDeadline(t)
 	}
@@ -111,6 +129,19 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// NetConn returns the connection that c wraps.
+func (c *limitedConn) NetConn() net.Conn {
+	return c.Conn
+}
+
+// CloseWrite ends the sending direction. The HTTP server uses it so that a client that still sends a refused body reads the response.
+func (c *limitedConn) CloseWrite() error {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
 // checkHead returns an error with CodeHeadTooLarge if a request's head has more bytes than the limit. A limit of zero means no limit.
 func checkHead(r *http.Request, limit int64) *jaypitch.Error {
 	if limit <= 0 {
--- a/route/mesh_picker.go
+++ b/route/mesh_picker.go
@@ -16,9 +16,13 @@
 // is expected to respond first, with a preference for the sidecar's data centre. It isn't safe for concurrent use.
 type MeshPicker struct {
 	dataCentre string
+	regions    mesh.Regions
 	random     func() float64
 	servers    map[string]*serverState
 	rules      map[string]*ruleStats
+	// eligible, here and elsewhere are the memory of Pick for the servers that may get a request.
+	eligible        []*schema.MeshServer
+	here, elsewhere []candidate
 }
 
 // serverState is what this sidecar knows of one server and the sidecar beside it.
@@ -35,6 +39,8 @@
 	unreachable bool
 	// noReplySince is the latest time of a response, a successful probe, or the start of an attempt while no other was in progress.
 	noReplySince time.Time
+	life         liveness
+	link         linkEstimate
 	// coldUntil is the time from which a server that has just started counts as warm; see coldFactor.
 	coldUntil time.Time
 	// networkTimeUS is the estimated network time of an attempt, in microseconds; zero if unknown.
@@ -43,6 +49,8 @@
 	limit serverLimit
 	// retryAt is when the server expects to have room for a rule's requests again, by the rule's name.
 	retryAt map[string]time.Time
+	// refusing holds the rules whose requests the server refuses without executing them.
+	refusing map[string]refusingState
 	// rankRetryAt is when the server's rate limit has room for requests of a rank again. Less urgent ones wait for it too.
 	rankRetryAt map[int64]time.Time
 }
@@ -81,8 +89,15 @@
 	BodyBytes int
 	// Deadline is when the request times out. A server whose rate limit has no room before is skipped.
 	Deadline time.Time
+	// Regions are the regions whose servers may be chosen; empty if all may.
+	Regions []string
+	// Download is true if the response is probably large. A server on whose link it can't leave before TargetDeadline is skipped.
+	Download       bool
+	TargetDeadline time.Time
 	// Excluded are the IDs of servers that must not be chosen, since an earlier attempt failed there.
 	Excluded []string
+	// NoTrial is true if a server has refused the request already. It skips the servers that refused all of the rule's latest requests.
+	NoTrial bool
 }
 
 // MeshPick is the result of a choice: a server, or the time after which one expects room.
@@ -101,6 +116,8 @@
 	RetryAfter time.Duration
 	// Limited is true if a server was skipped for its rate limit.
 	Limited bool
+	// LinkFull is true if a server was skipped for the link of its host.
+	LinkFull bool
 	// LimitHeardAt and RateLimit are what is known of the chosen server's rate limit; LimitHeardAt is zero if it names none.
 	LimitHeardAt time.Time
 	RateLimit    float64
@@ -123,8 +140,12 @@
 	ruleWeight = 0.05
 	// unresponsiveAfter is the time without a reply after which a sidecar with requests in progress is probed; most requests end sooner.
 	unresponsiveAfter = 250 * time.Millisecond
-	// avoidDuration is how long a server gets no requests after its sidecar reported that it is stopping or isn't beside that server.
+	// avoidDuration is how long a server gets no requests after its sidecar reported that it is stopping, isn't beside that server, or is in an
+	// evacuated data centre.
 	avoidDuration = 700 * time.Millisecond
+	// avoidUnconfirmed is how long a server gets no requests after its sidecar reported that it has no confirmed state. It gets that from the store or
+	// another sidecar within some round trips.
+	avoidUnconfirmed = 150 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time for which a server that refused a rule's request as overloaded gets no more of
 	// the rule's requests. Finish multiplies the bounded time by a random factor from 0.5 to 1.5.
 	minRetryAfter = 10 * time.Millisecond
@@ -155,47 +176,55 @@
 )
 
 // NewMeshPicker returns a picker for a sidecar of a data centre. Random returns a number in [0, 1).
-func NewMeshPicker(dataCentre string, random func() float64) *MeshPicker {
-	return &MeshPicker{dataCentre: dataCentre, random: random, servers: map[string]*serverState{}, rules: map[string]*ruleStats{}}
+func NewMeshPicker(dataCentre string, random func() float64, options ...MeshPickerOption) *MeshPicker {
+	c := &MeshPicker{dataCentre: dataCentre, random: random, servers: map[string]*serverState{}, rules: map[string]*ruleStats{}}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
-// Pick chooses the server of a service with the lowest cost. It skips excluded servers and those whose retry-after for the rule
+// Pick chooses the server of a service with the lowest cost of those that choose compares. It skips excluded servers and those whose retry-after for the rule
 // hasn't passed. The service may be nil.
 func (c *MeshPicker) Pick(s *mesh.Service, q PickRequest, now time.Time) MeshPick {
 	var p MeshPick
 	if s == nil {
 		return p
 	}
-	best, next := math.Inf(1), math.Inf(1)
-	for _, v := range c.sample(s.Servers) {
+	eligible := c.eligible[:0]
+	for _, v := range c.sample(c.allowed(s.Servers, q)) {
 		if contains(q.Excluded, v.GetId()) {
 			continue
 		}
 		e := c.server(v, now)
+		if _, refusing := e.refusing[q.Rule]; refusing && q.NoTrial {
+			p.skip(minRefusingHoldOff, false)
+			continue
+		}
 		wait, limited := e.retryWait(q, now), false
 		if w := e.limit.wait(now); w > 0 && now.Add(w+c.meanTimeAt(e, q.Rule, now)).After(q.Deadline) {
 			wait, limited = max(w, wait), true
 		}
+		if w := c.linkRetryWait(e, q, now); w > 0 {
+			wait, p.LinkFull = max(w, wait), true
+		}
 		if wait > 0 {
 			p.skip(wait, limited)
 			continue
 		}
-		cost := c.cost(v, q, now)
-		if cost < best {
-			p.Server, best, next = v, cost, best
-		} else if cost < next {
-			next = cost
-		}
+		eligible = append(eligible, v)
 	}
-	if p.Server == nil {
+	c.eligible = eligible
+	best, next := c.choose(s, eligible, q, now)
+	if p.Server = best.server; p.Server == nil {
 		return p
 	}
-	p.RetryAfter, p.Limited = 0, false
+	p.RetryAfter, p.Limited, p.LinkFull = 0, false, false
 	limit := c.server(p.Server, now).limit
 	p.LimitHeardAt, p.RateLimit = limit.heardAt, limit.perSecond
 	p.ExpectContinue = q.BodyBytes >= minExpectContinueBytes && p.Server.GetDataCentre() != c.dataCentre && c.server(p.Server, now).requests(now) >= float64(p.Server.GetSlots())
-	if !math.IsInf(next, 1) {
-		p.AlternativeTime = c.alternativeTime(p.Server, q, next-best, now)
+	if next.server != nil {
+		p.AlternativeTime = c.alternativeTime(p.Server, q, next.cost-best.cost, now)
 	}
 	return p
 }
@@ -276,18 +305,21 @@
 }
 
 // cost is the expected time of a request at a server plus the cost of its bytes, in microseconds. It is infinite for a server
-// that can't get requests.
-func (c *MeshPicker) cost(v *schema.MeshServer, q PickRequest, now time.Time) float64 {
+// that can't get requests. MeanLoad is the mean load of the service's servers.
+func (c *MeshPicker) cost(v *schema.MeshServer, meanLoad float64, q PickRequest, now time.Time) float64 {
 	e := c.server(v, now)
 	if e.unreachable || now.Before(e.avoidUntil) {
 		return math.Inf(1)
 	}
 	mean := c.meanAt(e, q.Rule, now)
-	utilisation := (e.requests(now) + 1) / float64(max(1, v.GetSlots()))
-	cost := mean*(1+busyFactor*utilisation+max(0, utilisation-1)) + e.networkTimeUS + float64(e.limit.wait(now).Microseconds())
+	utilisation := e.load(meanLoad, now) + 1/float64(max(1, v.GetSlots()))
+	cost := mean*(1+busyFactor*utilisation+max(0, utilisation-1)) + e.networkTimeUS + float64((e.limit.wait(now) + c.linkTime(e, q, now)).Microseconds())
 	if t := e.ruleReports[q.Rule]; now.Before(t.until) && t.failing > failingThreshold {
 		cost *= 1 + 10*t.failing
 	}
+	if e.untried() {
+		cost *= 1 + untriedFactor*float64(e.inFlight)
+	}
 	if v.GetDataCentre() != c.dataCentre {
 		cost += c.transferCost(float64(q.BodyBytes)+c.rule(q.Rule).responseBytes, q)
 	}
@@ -340,13 +372,14 @@
 	return out
 }
 
-// RecordProbe records the result of a probe of the sidecar beside a server. It reports whether the sidecar has become unreachable
-// by this probe.
+// RecordProbe records the result of a probe of the sidecar beside a server. A failed probe doesn't count if bytes arrived from the sidecar
+// meanwhile. It reports whether the sidecar has become unreachable by this probe.
 func (c *MeshPicker) RecordProbe(id string, alive bool, now time.Time) bool {
 	e := c.servers[id]
 	if e == nil {
 		return false
 	}
+	alive = alive || e.life.heard(now)
 	lost := !alive && !e.unreachable
 	e.unreachable = !alive
 	if alive {
@@ -376,19 +409,26 @@
 	e.inFlight--
 	if r.LoadReport.Slots == 0 {
 		if r.Code == jaypitch.CodeUnreachable || r.Code == jaypitch.CodeUnknown {
-			e.unreachable = true
+			// Connections time out on a full link too. There only a probe tells whether the sidecar is alive.
+			e.unreachable = e.unreachable || !e.life.linkFull(now)
 		}
 		return
 	}
 	e.unreachable, e.avoidUntil, e.noReplySince = false, time.Time{}, now
+	e.life.recordReport(r.LoadReport, now)
 	e.limit = newServerLimit(r.LoadReport, now)
+	e.link.update(r.LoadReport, now)
 	e.loadReport, e.inFlightAtReport, e.loadUntil = r.LoadReport, e.inFlight, now.Add(meshLoadMaxAge)
 	if r.LoadReport.Mean > 0 {
 		e.ruleReports[rule] = ruleReport{mean: r.LoadReport.Mean, failing: r.LoadReport.Failing, until: now.Add(meanMaxAge)}
 	}
-	if r.LoadReport.Stopping || r.Code == jaypitch.CodeMisdirected || r.Code == jaypitch.CodeNotThisHost || r.Code == jaypitch.CodeStopping {
+	c.recordRefusing(e, rule, r, now)
+	if r.LoadReport.Stopping || r.Code == jaypitch.CodeMisdirected || r.Code == jaypitch.CodeNotThisHost || r.Code == jaypitch.CodeStopping || r.Code == jaypitch.CodeEvacuated {
 		e.avoidUntil = now.Add(avoidDuration)
 	}
+	if r.Code == jaypitch.CodeUnconfirmed {
+		e.avoidUntil = now.Add(avoidUnconfirmed)
+	}
 	e.updateNetworkTime(r.NetworkTime)
 	if longest := longestRetryAfter(r.Code); longest > 0 {
 		span := min(max(r.RetryAfter, minRetryAfter), longest)
@@ -407,14 +447,14 @@
 			s.meanServiceUS = float64(r.ServiceTime.Microseconds())
 		}
 		s.meanServiceUS += ruleWeight * (float64(r.ServiceTime.Microseconds()) - s.meanServiceUS)
-		s.responseBytes += ruleWeight * (float64(len(r.Body)) - s.responseBytes)
+		s.responseBytes += ruleWeight * (bodyBytes(r) - s.responseBytes)
 	}
 }
 
 // longestRetryAfter returns the longest time for which a server gets no requests of a rule after a refusal with a code; zero if it gets more.
 func longestRetryAfter(c jaypitch.Code) time.Duration {
 	switch c {
-	case jaypitch.CodeOverloaded:
+	case jaypitch.CodeOverloaded, jaypitch.CodeLinkFull:
 		return maxRetryAfter
 	case jaypitch.CodeServerLimit:
 		return maxLimitRetryAfter
@@ -467,7 +507,7 @@
 func (c *MeshPicker) server(v *schema.MeshServer, now time.Time) *serverState {
 	e := c.servers[v.GetId()]
 	if e == nil {
-		e = &serverState{server: v, ruleReports: map[string]ruleReport{}, retryAt: map[string]time.Time{}, rankRetryAt: map[int64]time.Time{}, coldUntil: now.Add(time.Duration(v.GetColdUs()) * time.Microsecond)}
+		e = &serverState{server: v, ruleReports: map[string]ruleReport{}, retryAt: map[string]time.Time{}, refusing: map[string]refusingState{}, rankRetryAt: map[int64]time.Time{}, coldUntil: c.coldUntil(v, now)}
 		c.servers[v.GetId()] = e
 	}
 	return e
--- a/scenario/mesh.go
+++ b/scenario/mesh.go
@@ -23,6 +23,8 @@
 	Hosts []*MeshHost
 	// SidecarSettings are additional lines for section [sidecar] of the hosts that are added from now on.
 	SidecarSettings string
+	// Settings follows the other settings of hosts that are added later.
+	Settings string
 
 	sidecarProgram string
 	dir            string
@@ -108,13 +110,22 @@
 	for _, name := range []string{"callers", "peers", "ready", "metrics"} {
 		text += fmt.Sprintf("%s = %s:%d\n", name, h.IP, m.ports[name])
 	}
-	text += fmt.Sprintf("[store]\naddress = %s\n", m.storeAddress)
-	file := filepath.Join(m.dir, fmt.Sprintf("sidecar_%d.ini", i))
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	text += fmt.Sprintf("[store]\naddress = %s\n%s", m.storeAddress, m.Settings)
+	if err := os.WriteFile(m.settingsFile(i), []byte(text), 0o600); err != nil {
 		return fmt.Errorf("writing the settings of a sidecar: %w", err)
 	}
+	return m.StartSidecar(i)
+}
+
+func (m *Mesh) settingsFile(i int) string {
+	return filepath.Join(m.dir, fmt.Sprintf("sidecar_%d.ini", i))
+}
+
+// StartSidecar starts the sidecar of a host, again after it has ended.
+func (m *Mesh) StartSidecar(i int) error {
+	h := m.Hosts[i]
 	h.process = exec.Command(m.sidecarProgram)
-	h.process.Env = append(os.Environ(), settingsEnv+"="+file)
+	h.process.Env = append(os.Environ(), settingsEnv+"="+m.settingsFile(i))
 	h.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	h.process.Stdout = &h.output
 	if err := h.process.Start(); err != nil {
@@ -148,7 +159,7 @@
 // Get sends a GET request to a listener of a host's sidecar (callers, peers, ready or metrics) and returns the response's status.
 // The request has the ID and the additional header. The status is 0 if there was no complete response.
 func (m *Mesh) Get(i int, listener, path, id string, header http.Header) int {
-	r, err := http.NewRequest(http.MethodGet, "http://"+m.Address(i, listener)+path, nil)
+	r, err := http.NewRequest(http.MethodGet, m.URL(i, listener)+path, nil)
 	if err != nil {
 		return 0
 	}
@@ -173,6 +184,11 @@
 	return fmt.Sprintf("%s:%d", m.Hosts[i].IP, m.ports[listener])
 }
 
+// URL returns the URL of a listener of a host's sidecar, without a path.
+func (m *Mesh) URL(i int, listener string) string {
+	return "http://" + m.Address(i, listener)
+}
+
 // AllRespond reports whether the sidecars of all hosts respond to a GET request with a status. The listener is one of those of Get.
 func (m *Mesh) AllRespond(listener, path string, status int) bool {
 	for i := range m.Hosts {
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/jaypitch/jaypitch"
 	"github.com/jaypitch/jaypitch/ini"
@@ -101,6 +102,9 @@
 	return problems
 }
 
+// maxColdBound limits the settings about cold servers.
+const maxColdBound = 1e6
+
 // ParseSidecar parses the settings file of a sidecar. The settings are usable only if there are no problems.
 func ParseSidecar(file string, text []byte) (*schema.SidecarSettings, ini.Problems) {
 	s := &schema.SidecarSettings{}
@@ -109,5 +113,18 @@
 		problems = append(problems, ini.Problem{Code: jaypitch.CodeOutOfRange, File: file, Section: "bounds", Key: "retry_ratio",
 			Reason: fmt.Sprintf("%q is not a number from 0 to 1", s.GetBounds().GetRetryRatio())})
 	}
+	for key, text := range map[string]string{"overage": s.GetCold().GetOverage(), "slack": s.GetCold().GetSlack()} {
+		least := map[string]float64{"overage": 1}[key]
+		if n, err := strconv.ParseFloat(text, 64); err != nil || !(n >= least && n <= maxColdBound) {
+			problems = append(problems, ini.Problem{Code: jaypitch.CodeOutOfRange, File: file, Section: "cold", Key: key,
+				Reason: fmt.Sprintf("%q is not a number from %g to %g", text, least, maxColdBound)})
+		}
+	}
+	for _, pair := range s.GetSidecar().GetRegions() {
+		if dataCentre, region, ok := strings.Cut(pair, ":"); !ok || dataCentre == "" || region == "" || strings.Contains(region, ":") {
+			problems = append(problems, ini.Problem{Code: jaypitch.CodeWrongType, File: file, Section: "sidecar", Key: "regions",
+				Reason: fmt.Sprintf("%q is not a data centre and its region, separated by a colon", pair)})
+		}
+	}
 	return s, problems
 }
--- a/sidecar/listen.go
+++ b/sidecar/listen.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/jaypitch/jaypitch/connlimit"
 	"github.com/jaypitch/jaypitch/outbound"
 )
 
@@ -51,15 +52,24 @@
 	ready.HandleFunc("GET "+c.platform.ReadyPath, c.handleReady)
 	operators := http.NewServeMux()
 	operators.Handle("/", c.metrics.handler())
-	operators.HandleFunc("GET /evidence", c.handleEvidence)
-	operators.HandleFunc("GET /burn", c.handleBurn)
+	// Both query all hosts, so their number bounds the connections that they open.
+	queries := &inFlightLimit{handler: http.HandlerFunc(c.handleQuery), most: maxQueries}
+	operators.Handle("GET /evidence", queries)
+	operators.Handle("GET /burn", queries)
+	operators.HandleFunc("GET /where", c.handleWhere)
 	servers := []*http.Server{
 		outbound.NewServer(c.handler),
 		{Handler: c.peerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout},
 		{Handler: ready, ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout},
 		{Handler: operators, ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout},
 	}
-	for i, listener := range []net.Listener{outbound.NewListener(l.callers, c.replica, c.now), l.peers, l.ready, l.metrics} {
+	bounded := c.memory.listeners(l, c.configuredHeadBytes, c.now)
+	for i, listener := range []net.Listener{outbound.NewListener(bounded[0], c.replica, c.now), bounded[1], bounded[2], bounded[3]} {
+		refusal := connlimit.Refuse
+		if i == peersListener {
+			refusal = c.peerServer.Refuse
+		}
+		connlimit.Attach(servers[i], refusal)
 		servers[i].BaseContext = func(net.Listener) context.Context { return ctx }
 		c.wg.Add(1)
 		go (&serveTask{server: servers[i], listener: listener, wg: &c.wg}).run()
@@ -73,6 +83,15 @@
 	_ = s.server.Serve(s.listener)
 }
 
+// handleQuery serves the queries of operators.
+func (c *Sidecar) handleQuery(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/burn" {
+		c.handleBurn(w, r)
+		return
+	}
+	c.handleEvidence(w, r)
+}
+
 func (c *Sidecar) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !c.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -26,7 +26,10 @@
 	undecodableEntries prometheus.Counter
 	serverConnections  prometheus.Counter
 	serverRequests     *prometheus.CounterVec
+	brokenStreams      prometheus.Counter
+	received           *prometheus.CounterVec
 	restores           prometheus.Counter
+	coldStarts         prometheus.Counter
 }
 
 const namespace = "jaypitch_sidecar"
@@ -43,10 +46,14 @@
 		serviceTime:        prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "server_seconds", Help: "Time at the backend server (service time), by rank.", Buckets: histogramBuckets}, []string{"rank"}),
 		undecodableEntries: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "entries_refused_total", Help: "Entries of the store that can't be decoded."}),
 		serverConnections:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "server_connections_total", Help: "New connections to the backend server."}),
+		coldStarts:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "server_cold_total", Help: "Times that the backend server began to count as cold, so that requests to it are paced."}),
 		restores:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_restores_total", Help: "Times that the store came back from a copy, as the rise of its era shows."}),
 		serverRequests:     prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_requests_total", Help: "Requests sent to the backend server, by whether it named a rate limit then."}, []string{"limited"}),
 	}
-	m.registry.MustRegister(m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
+	m.brokenStreams = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "streams_broken_off_total", Help: "Streamed responses that were broken off before their end, by the client, by a server, or for a client that read nothing."})
+	m.received = newReceivedCounter()
+	m.registry.MustRegister(m.received, m.brokenStreams, m.coldStarts, m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
+	m.registry.MustRegister(newEvacuationCollector(c))
 	gauge := func(name, help string, f func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
 	}
@@ -63,6 +70,7 @@
 	})
 	gauge("slots_running", "Requests at the backend server.", func() float64 { n, _, _ := c.receiver.Counts(); return float64(n) })
 	gauge("slots_waiting", "Requests queued for a slot.", func() float64 { _, n, _ := c.receiver.Counts(); return float64(n) })
+	c.registerCallers(m)
 	gauge("server_limit", "Requests per second that the backend server takes from all hosts together; +Inf if it names no limit.", func() float64 { return rateLimit(c.receiver.Notice()) })
 	gauge("server_leaving", "1 if the backend server says that it is leaving, else 0.", func() float64 {
 		if c.receiver.Notice().Leaving {
@@ -70,6 +78,14 @@
 		}
 		return 0
 	})
+	gauge("server_cold_seconds", "Time for which the backend server still counts as cold; 0 if it is warm or its service has no limit for cold servers.", c.coldSeconds)
+	counter := func(name, help string, f func() float64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, f))
+	}
+	counter("ahead_started_total", "Requests that were started before the one ahead of them on their client's connection was answered.", func() float64 { n, _ := c.handler.StartedAhead(); return float64(n) })
+	counter("ahead_dropped_total", "Requests among these that were never answered, since the connection was closed before their turn.", func() float64 { _, n := c.handler.StartedAhead(); return float64(n) })
+	gauge("addresses_contested", "Addresses that the entries of several servers name.", func() float64 { n, _ := c.replica.Table().Contested(); return float64(n) })
+	gauge("addresses_answered", "Contested addresses at which a server has shown by its answer that it is there; the other entries are out of use.", func() float64 { _, n := c.replica.Table().Contested(); return float64(n) })
 	gauge("lines_dropped", "Log lines dropped because the output was too slow or failed.", func() float64 { return float64(dropped()) })
 	return m
 }
@@ -79,8 +95,9 @@
 	return c.metrics.registry
 }
 
+// handler serves the metrics uncompressed: a compressor takes 1 MB for each response that is being written.
 func (m *metrics) handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
 }
 
 func (m *metrics) recordConnection(string) {
@@ -123,6 +140,9 @@
 	if r.Response.Execution == jaypitch.Executed {
 		c.metrics.overhead.WithLabelValues(rank).Observe(r.Overhead.Seconds())
 	}
+	if r.BrokenOff {
+		c.metrics.brokenStreams.Inc()
+	}
 	kind := logline.Answered
 	if r.Response.Code != jaypitch.CodeOK {
 		kind = logline.Failed
@@ -148,8 +168,8 @@
 	}
 	c.log.Info(logline.Passed, zap.String("id", f.ID), zap.Int("pass", attempt), zap.String("server", f.ServerID), zap.Int("code", int(r.Code)), zap.String("ran", string(r.Execution)),
 		zap.Bool("arrived", r.Arrived), zap.String("reason", r.Reason), zap.Duration("left", f.Deadline.Sub(c.now())), zap.Int("in_progress", r.LoadReport.InProgress),
-		zap.Int("waiting", r.LoadReport.Queued), zap.Int("slots", r.LoadReport.Slots), zap.Duration("mean", r.LoadReport.Mean), zap.Float64("failing", r.LoadReport.Failing),
-		zap.Bool("limited", r.LoadReport.Limited), zap.Float64("limit", r.LoadReport.RateLimit), zap.Duration("limit_wait", r.LoadReport.LimitWait))
+		zap.Int("waiting", r.LoadReport.Queued), zap.Int("slots", r.LoadReport.Slots), zap.Duration("mean", r.LoadReport.Mean), zap.Float64("failing", r.LoadReport.Failing), zap.Bool("refusing", r.LoadReport.Refusing),
+		zap.Bool("limited", r.LoadReport.Limited), zap.Float64("limit", r.LoadReport.RateLimit), zap.Duration("limit_wait", r.LoadReport.LimitWait), zap.Duration("link_wait", r.LoadReport.LinkWait))
 }
 
 // recordReceived records one request for the backend server on this host.
@@ -159,13 +179,14 @@
 	}
 	rank := strconv.FormatInt(f.Rank, 10)
 	c.metrics.queueTime.WithLabelValues(rank).Observe(queueTime.Seconds())
+	c.recordCaller(f, r, rank)
 	if r.ServiceTime > 0 {
 		c.metrics.serviceTime.WithLabelValues(rank).Observe(r.ServiceTime.Seconds())
 	}
 	if r.Code == jaypitch.CodeOK && !c.logBudget.Sampled(f.ID) || !c.logBudget.AllowRequest(logline.Received, f.ID, c.now()) {
 		return
 	}
-	c.log.Info(logline.Received, zap.String("id", f.ID), zap.String("server", f.ServerID), zap.Int64("rank", f.Rank), zap.Int("code", int(r.Code)),
+	c.log.Info(logline.Received, zap.String("id", f.ID), zap.String("server", f.ServerID), zap.Int64("rank", f.Rank), zap.String("calling_service", f.CallerService), zap.String("calling_host", f.CallerHost), zap.Int("code", int(r.Code)),
 		zap.String("reason", r.Reason), zap.Duration("waited", queueTime), zap.Duration("worked", r.ServiceTime), zap.Duration("left", f.Deadline.Sub(c.now())),
 		zap.Int("in_progress", r.LoadReport.InProgress), zap.Int("waiting", r.LoadReport.Queued))
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -37,19 +37,21 @@
 	ReadyPath string
 	// NewSource returns the source that reads the store at an address. It calls onUndecodable for each entry that can't be decoded.
 	NewSource func(address string, now func() time.Time, onUndecodable func(*jaypitch.Error)) jaypitch.MeshSource
+	// DecodeCold returns for how long a backend server stays cold, by the header of its response, and whether that tells it; nil if none does.
+	DecodeCold func(http.Header) (time.Duration, bool)
 	// DecodeNotice returns what a backend server states about itself in the header of its response.
 	DecodeNotice func(http.Header) (jaypitch.ServerNotice, *jaypitch.Error)
 }
 
 // Sidecar is one process beside a backend server.
 type Sidecar struct {
-	settings     atomic.Pointer[schema.SidecarSettings]
-	loadSettings func() (*schema.SidecarSettings, error)
-	platform     Platform
-	log          *zap.Logger
-	logBudget    *logline.Budget
-	now          func() time.Time
-	process      uint64
+	settings  atomic.Pointer[schema.SidecarSettings]
+	reloader  *reloader
+	platform  Platform
+	log       *zap.Logger
+	logBudget *logline.Budget
+	now       func() time.Time
+	process   uint64
 
 	replica      *mesh.Replica
 	watcher      *watcher
@@ -63,8 +65,11 @@
 	backendPool  *http1.Pool
 	peerPool     *http1.Pool
 	metrics      *metrics
+	memory       *memoryState
 	tracker      *evidence.Tracker
 	burnCounter  burnCounter
+	dataCentres  dataCentres
+	link         hostLink
 	// appliedAt is when the current configuration was applied; nil before the first one.
 	appliedAt atomic.Pointer[time.Time]
 	// peerPort is the port on which the sidecars of the mesh listen for each other.
@@ -76,6 +81,9 @@
 	// unconfirmedSince is when the process resumed from a pause; nil once the replica is confirmed.
 	unconfirmedSince atomic.Pointer[time.Time]
 
+	// lastTick is the time since the machine's start at the last tick, in nanoseconds; zero before the first one.
+	lastTick atomic.Int64
+
 	wg sync.WaitGroup
 }
 
@@ -88,19 +96,22 @@
 	idleBeforeClose = 200 * time.Millisecond
 	// shutdownMargin is the part of the grace time that is reserved for the end of the process.
 	shutdownMargin = 500 * time.Millisecond
-	// bodyMemoryDivisor sets the share of the memory that request bodies may take: one eighth.
-	bodyMemoryDivisor = 8
-	megabyte          = 1 << 20
 )
 
 // New returns a sidecar with validated settings. load reads the settings again and returns nil if they are unchanged; dropped returns
 // the number of log lines that the writer dropped. New fails if the listen address for peers or the retry ratio can't be parsed.
-func New(s *schema.SidecarSettings, load func() (*schema.SidecarSettings, error), p Platform, log *zap.Logger, dropped func() int64) (*Sidecar, error) {
+func New(s *schema.SidecarSettings, load func() (*schema.SidecarSettings, error), p Platform, log *zap.Logger, dropped func() int64, options ...Option) (*Sidecar, error) {
 	log = log.With(zap.String("node", s.GetSidecar().GetHost()))
-	c := &Sidecar{loadSettings: load, platform: p, log: log, logBudget: logline.NewBudget(), now: time.Now, process: rand.Uint64(), replica: mesh.NewReplica(), tracker: evidence.NewTracker(),
-		burnCounter: burnCounter{counter: burn.NewCounter()}}
+	c := &Sidecar{platform: p, log: log, logBudget: logline.NewBudget(), now: time.Now, process: rand.Uint64(), replica: mesh.NewReplica(), tracker: evidence.NewTracker(),
+		burnCounter: burnCounter{counter: burn.NewCounter()}, dataCentres: dataCentres{tracker: evidence.NewTracker()}}
 	c.settings.Store(s)
+	c.reloader = &reloader{sidecar: c, load: load}
+	for _, o := range options {
+		o(c)
+	}
+	c.memory = newMemoryState(s.GetSidecar(), log)
 	c.metrics = newMetrics(c, dropped)
+	c.metrics.registry.MustRegister(c.memory)
 	listen, err := netip.ParseAddrPort(s.GetListen().GetPeers())
 	if err != nil {
 		return nil, eris.Wrap(err, "parsing the listen address for peers")
@@ -112,21 +123,29 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "parsing the retry ratio")
 	}
+	if _, _, err := parseColdBounds(s.GetCold()); err != nil {
+		return nil, err
+	}
+	if err := c.setLink(s); err != nil {
+		return nil, err
+	}
 	c.backendPool = http1.NewPool(c.now, http1.WithOnDial(c.metrics.recordConnection))
 	// Receivers identify this sidecar by the local address, to poll it for newer revisions.
-	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()))
+	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()), http1.WithMaxIdle(c.memory.maxIdle()))
 	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.HeaderNames, c.replica, c.confirmation.age, c.backendPool, c.now, c.recordReceived,
-		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice))
+		inbound.WithNotices(p.DecodeNotice, c.recordNotice, c.recordRefusedNotice), inbound.WithAnswers(c.recordAnswer), inbound.WithDataCentre(s.GetSidecar().GetDataCentre()),
+		inbound.WithUnconfirmed(c.unconfirmed), c.withCold(), inbound.WithLink(c.link.incoming, c.link.outgoing))
 	control := http.NewServeMux()
 	control.Handle(meshpeer.NewHandler(c.replica, c.confirmation.age, c.find, c.burnCounts, c.recordSender))
 	control.HandleFunc("GET "+hop.ProbePath, func(http.ResponseWriter, *http.Request) {})
-	c.peerServer = hop.NewServer(c.receiver, p.HeaderNames.RequestID, c.now, c.stopping.Load, c.recordSender, control)
-	picker := route.NewMeshPicker(s.GetSidecar().GetDataCentre(), rand.Float64)
+	c.peerServer = hop.NewServer(c.receiver, p.HeaderNames.RequestID, c.now, c.stopping.Load, c.recordSender, &controlLimit{handler: control, budget: c.memory.budget}, hop.WithBudget(c.memory.budget))
+	regions := mesh.NewRegions(s.GetSidecar().GetRegion(), s.GetSidecar().GetDataCentre(), s.GetSidecar().GetRegions())
+	picker := route.NewMeshPicker(s.GetSidecar().GetDataCentre(), rand.Float64, route.WithRegions(regions))
 	retryBudget := route.NewMeshRetryBudget(ratio, s.GetBounds().GetRetrySlack(), micros(s.GetBounds().GetRetryWindowUs()))
 	c.hopClient = hop.NewClient(c.peerPool, c.now)
 	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
-		outbound.WithNotices(p.DecodeNotice))
-	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, s.GetSidecar().GetMemoryMb()*megabyte/bodyMemoryDivisor, c.tracker, c.now, c.recordRequest)
+		outbound.WithNotices(p.DecodeNotice), outbound.WithAnswers(c.recordAnswer), outbound.WithDataCentreCounts(c.beginAttempt), outbound.WithLink(c.link.incoming, c.link.outgoing))
+	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, c.memory.budget, c.tracker, c.now, c.recordRequest)
 	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, seeded: c.seeded, starting: c.starting, readsAllPages: c.readsAllPages, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
 	return c, nil
@@ -140,16 +159,18 @@
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	for _, l := range []interface{ run(context.Context) }{c.watcher, c.peerPoller, &ticker{sidecar: c}, &reloader{sidecar: c}, &prober{sidecar: c}} {
+	for _, l := range []interface{ run(context.Context) }{c.watcher, c.peerPoller, &ticker{sidecar: c}, c.reloader, &prober{sidecar: c, inProgress: map[string]bool{}}} {
 		c.wg.Add(1)
 		go (&task{wg: &c.wg, loop: l}).run(runCtx)
 	}
-	servers := c.serve(runCtx, listeners)
+	requestCtx, abort := context.WithCancelCause(runCtx)
+	defer abort(nil)
+	servers := c.serve(requestCtx, listeners)
 	s := c.settings.Load()
 	c.log.Info("started", zap.String("host", s.GetSidecar().GetHost()), zap.String("service", s.GetSidecar().GetService()),
 		zap.Uint64("process", c.process), zap.String("callers", s.GetListen().GetCallers()), zap.String("backend", s.GetSidecar().GetBackend()))
 	<-ctx.Done()
-	c.stop(servers, listeners)
+	c.stop(servers, listeners, abort)
 	cancel()
 	c.wg.Wait()
 	c.log.Info("stopped", zap.Int64("requests_in_progress", c.handler.InProgress()))
@@ -158,7 +179,8 @@
 
 // stop drains the sidecar and closes the listeners. The receiver refuses new requests; clients are served until minDrainTime is over
 // and no request is in progress, or the grace time ends. A request that arrives later, on a connection that was accepted before, is refused.
-func (c *Sidecar) stop(servers []*http.Server, l *listeners) {
+// Requests that are still in progress then are aborted before the process ends, so that their senders and clients get a response.
+func (c *Sidecar) stop(servers []*http.Server, l *listeners, abort context.CancelCauseFunc) {
 	began := c.now()
 	until := began.Add(micros(c.settings.Load().GetBounds().GetGraceUs()) - shutdownMargin)
 	c.endsAt.Store(&until)
@@ -172,6 +194,7 @@
 	_ = l.callers.Close()
 	_ = l.peers.Close()
 	c.awaitIdle(drainedAt, until)
+	abort(jaypitch.ErrStopping)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin/2)
 	defer cancel()
 	for _, s := range servers {
@@ -188,7 +211,7 @@
 		time.Sleep(idleBeforeClose / 4)
 		now := c.now()
 		inProgress, queued, _ := c.receiver.Counts()
-		if c.handler.InProgress() > 0 || inProgress+queued > 0 {
+		if c.handler.InProgress() > 0 || inProgress+queued+c.receiver.Streams() > 0 {
 			idleSince = now
 		}
 		if now.After(atLeast) && now.Sub(idleSince) > idleBeforeClose {
@@ -219,10 +242,16 @@
 		c.log.Info("server", zap.String("server", v.GetId()), zap.String("service", v.GetService()), zap.String("address", v.GetAddress()),
 			zap.Bool("draining", v.GetDraining()), zap.Bool("gone", v.GetGone()), zap.Int64("revision", v.GetRevision()), zap.String("from", from))
 	}
+	if len(change.Evacuations) > 0 {
+		c.applyEvacuations()
+	}
+	if change.Config || len(change.Servers)+len(change.Evacuations) > 0 {
+		c.receiver.ObserveTable()
+	}
 	if len(change.Servers) > 0 {
 		c.dispatcher.Prune(c.replica.Table())
 	}
-	if from == fromStore && (change.Restored || change.Config || len(change.Servers) > 0) {
+	if from == fromStore && (change.Restored || change.Config || len(change.Servers)+len(change.Evacuations) > 0) {
 		c.peerPoller.signalChange()
 	}
 	return change
@@ -260,7 +289,8 @@
 
 // localState returns the state of this process that the handler needs for each request.
 func (c *Sidecar) localState() outbound.LocalState {
-	o := outbound.LocalState{Service: c.settings.Load().GetSidecar().GetService(), Stopping: c.stopping.Load(), Unconfirmed: c.unconfirmedSince.Load() != nil || c.replica.Revision() == 0}
+	c.reloader.refresh()
+	o := outbound.LocalState{Service: c.settings.Load().GetSidecar().GetService(), Stopping: c.stopping.Load(), Unconfirmed: c.unconfirmed() || c.replica.Revision() == 0}
 	if at := c.endsAt.Load(); at != nil {
 		o.EndsAt = *at
 	}
@@ -270,7 +300,7 @@
 // ready reports whether the platform may send clients to this sidecar.
 func (c *Sidecar) ready() bool {
 	t := c.replica.Table()
-	return !c.stopping.Load() && t.Version > 0 && len(t.Services) > 0 && c.replica.Revision() > 0 && c.unconfirmedSince.Load() == nil
+	return !c.stopping.Load() && t.Version > 0 && t.HasServers() && c.replica.Revision() > 0 && !c.unconfirmed()
 }
 
 // task runs one loop of the sidecar.
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -29,6 +29,11 @@
 	connections int
 	// notice holds the lines of the header with what the server states about itself, each with its line end.
 	notice string
+	health health
+	// open holds the connections that were accepted, for Crash; some may be closed.
+	open []net.Conn
+	// arrivals are the times at which requests were executed.
+	arrivals []time.Time
 }
 
 // Behaviour is how a MeshServer responds to requests.
@@ -45,6 +50,8 @@
 	Normal Behaviour = ""
 	// Extra sends every response twice.
 	Extra Behaviour = "extra"
+	// Large sends complete responses of LargeBytes.
+	Large Behaviour = "large"
 	// Unframed sends responses without Content-Length, which end when the connection closes.
 	Unframed Behaviour = "unframed"
 	// Early responds before it has read the request body.
@@ -83,6 +90,9 @@
 	AnonymousMisdirected Behaviour = "repeats_anonymous_421"
 )
 
+// LargeBytes is the length of the body of a response that Large sends.
+const LargeBytes = 300_000
+
 // NewMeshServer starts a server that listens on a loopback address. The ID is its instance ID in the mesh; each request occupies
 // a slot for the service time.
 func NewMeshServer(address, id string, slots int, serviceTime time.Duration) (*MeshServer, error) {
@@ -184,6 +194,7 @@
 		}
 		s.mu.Lock()
 		s.connections++
+		s.open = append(s.open, c)
 		s.mu.Unlock()
 		go (&meshServerConn{server: s, conn: c}).serve()
 	}
@@ -205,6 +216,9 @@
 
 // respond serves one request. It reports whether the connection can stay open.
 func (s *MeshServer) respond(w net.Conn, in *bufio.Reader, r *http.Request) bool {
+	if is, stays := s.respondHealth(w, r); is {
+		return stays
+	}
 	s.mu.Lock()
 	b, id, serviceTime, notice := s.behaviour, s.id, s.serviceTime, s.notice
 	s.headers = append(s.headers, r.Header)
@@ -240,6 +254,7 @@
 	s.mu.Lock()
 	s.running++
 	s.executions[attemptID]++
+	s.arrivals = append(s.arrivals, time.Now())
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -267,6 +282,8 @@
 		return writeEndlessly(w, start, unit)
 	}
 	switch b {
+	case Large:
+		response = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: %d\r\n\r\n", notice, attemptID, LargeBytes) + strings.Repeat("x", LargeBytes)
 	case Extra:
 		response += response
 	case RepeatedRefusal:
--- a/standin/store.go
+++ b/standin/store.go
@@ -17,6 +17,8 @@
 // Store stands in for the platform's store of a mesh. It has items with revisions, paged reads, watches, compaction and a rate limit.
 // SetFault injects faults.
 type Store struct {
+	ruleTimeout time.Duration
+
 	mu       sync.Mutex
 	revision int64
 	oldest   int64 // a watch after an older revision fails with status 410
@@ -77,7 +79,7 @@
 
 // NewStore returns a store that serves readsPerSecond requests per second and lists pageSize items at a time.
 func NewStore(readsPerSecond, pageSize int) *Store {
-	s := &Store{revision: 1, era: 1, limits: ClientLimits{BodyBytes: defaultBodyBytes}, items: map[string]storeItem{}, changed: make(chan struct{}), pageSize: pageSize,
+	s := &Store{ruleTimeout: 2 * time.Second, revision: 1, era: 1, limits: ClientLimits{BodyBytes: defaultBodyBytes}, items: map[string]storeItem{}, changed: make(chan struct{}), pageSize: pageSize,
 		limiter: rate.NewLimiter(rate.Limit(readsPerSecond), readsPerSecond), mux: http.NewServeMux()}
 	s.mux.HandleFunc("GET /jaypitch/kv-key", s.key)
 	s.mux.HandleFunc("GET /jaypitch/kv-range", s.list)
@@ -85,6 +87,11 @@
 	return s
 }
 
+// SetRuleTimeout sets the timeout of the rules of configurations that PutConfig writes from now on. It is two seconds before.
+func (s *Store) SetRuleTimeout(d time.Duration) {
+	s.ruleTimeout = d
+}
+
 // Put writes an item and returns its revision.
 func (s *Store) Put(key string, value []byte) int64 {
 	return s.write(storeItem{Key: key, Value: value})
@@ -100,13 +107,22 @@
 // PutConfig writes a mesh configuration with one rule for each path prefix. The rules send requests with the host name to the service and
 // declare them idempotent.
 func (s *Store) PutConfig(version int, host, service string, prefixes ...string) int64 {
+	return s.putConfig(version, host, service, "idempotent", prefixes)
+}
+
+// PutDownloadConfig is PutConfig with rules of large responses.
+func (s *Store) PutDownloadConfig(version int, host, service string, prefixes ...string) int64 {
+	return s.putConfig(version, host, service, "download", prefixes)
+}
+
+func (s *Store) putConfig(version int, host, service, kind string, prefixes []string) int64 {
 	s.mu.Lock()
 	limits := map[string]any{"maxHeaderBytes": s.limits.HeadBytes, "maxBodyBytes": s.limits.BodyBytes, "headerTimeoutS": s.limits.HeadS, "idleTimeoutS": s.limits.IdleS}
 	s.mu.Unlock()
 	var rules []map[string]any
 	for _, p := range prefixes {
-		rules = append(rules, map[string]any{"name": p, "kind": "idempotent", "targetLatencyS": 0.5, "priority": 1, "match": map[string]any{"prefix": p},
-			"action": map[string]any{"service": service, "timeoutS": 2, "maxAttempts": 2}})
+		rules = append(rules, map[string]any{"name": p, "kind": kind, "targetLatencyS": 0.5, "priority": 1, "match": map[string]any{"prefix": p},
+			"action": map[string]any{"service": service, "timeoutS": s.ruleTimeout.Seconds(), "maxAttempts": 2}})
 	}
 	return s.putJSON(ConfigKey, map[string]any{"version": "r" + strconv.Itoa(version), "limits": limits,
 		"listeners": []any{map[string]any{"host": host, "routeRules": rules}}, "clusters": []any{map[string]any{"name": service}}})
@@ -114,7 +130,7 @@
 
 // PutServer writes a server's entry.
 func (s *Store) PutServer(id, address, service, state string, slots int) int64 {
-	return s.putJSON("servers/"+id, map[string]any{"address": address, "info": map[string]any{"service": service, "zone": "z", "slots": slots},
+	return s.putJSON("servers/"+id, map[string]any{"address": address, "info": map[string]any{"service": service, "version": "v1", "zone": "z", "slots": slots},
 		"status": map[string]any{"state": state, "seq": 1, "coldRemainingS": 0}})
 }
 
--- a/update.go
+++ b/update.go
@@ -13,10 +13,13 @@
 	Revision int64
 	// Era is the era of the store that the revisions in the update belong to.
 	Era Era
-	// Full is true if the update holds the whole mesh, so that any server missing from it was removed.
+	// Full is true if the update holds the whole mesh, so that any server or evacuation missing from it was removed.
 	Full    bool
 	Config  *schema.MeshConfig
 	Servers []*schema.MeshServer
+	// Evacuations holds the evacuated data centres, and in a partial update tombstones of evacuations that were taken back. One without a
+	// revision changes nothing: its entry can't be decoded, which doesn't end an evacuation.
+	Evacuations []*schema.MeshEvacuation
 	// KeepMissingUntil is the time until which servers that were removed without draining first stay in use; zero if they don't.
 	KeepMissingUntil time.Time
 }
@@ -28,6 +31,8 @@
 	ErrRestored = errors.New("the store was restored from a copy")
 	// ErrSuperseded is the cancellation cause of an attempt if another attempt of the same request completed first.
 	ErrSuperseded = errors.New("another attempt of the request completed first")
+	// ErrStopping is the cancellation cause of a request that is still in progress when its process ends.
+	ErrStopping = errors.New("the sidecar stops")
 )
 
 // Position returns the position up to which the update is complete.
