Requests with bodies on kept connections aren't refused for the size of their heads

The limits of a listener find their connection inside of the wrappers that the HTTP server has. The wrapper that reads ahead hid it, so the listener never learned that a head was complete, counted all bytes of a kept connection as one head, and refused the request that exceeded 16 KiB with 431. The wrapper shows its connection now.

TestBodiesAreNotHeads got 431 before and passes; TestLargestBody passes (4.7 s).

--- a/outbound/read_ahead.go
+++ b/outbound/read_ahead.go
@@ -260,6 +260,19 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection that c wraps.
+func (c *aheadConn) NetConn() net.Conn {
+	return c.Conn
+}
+
+// CloseWrite ends the sending direction.
+func (c *aheadConn) CloseWrite() error {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
 // SyscallConn returns the connection's raw form.
 func (c *aheadConn) SyscallConn() (syscall.RawConn, error) {
 	if s, ok := c.Conn.(syscall.Conn); ok {
@@ -270,7 +283,7 @@
 
 // SetLinger sets what closing the connection does with data that wasn't sent.
 func (c *aheadConn) SetLinger(seconds int) error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		return t.SetLinger(seconds)
 	}
 	return nil
