A server's cold time rebuilds the table only where its service limits cold servers

Each report of a server that has started has another cold time. Since cold servers are paced, each such report made every sidecar build its table again, log the server and prune its state, also in deployments without a limit for cold servers: about three times for each of 77 servers after all hosts had lost power, with 0.16 of a core.

TestColdTimeRebuildsTable fails before for a service without a limit.

--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -346,7 +346,18 @@
 	if v.GetGone() {
 		e.markRemoved(before, u.KeepMissingUntil, now)
 	}
-	return before == nil || startedAgain || !sameServer(before, v)
+	return before == nil || startedAgain || !sameServer(before, v) || before.GetColdUs() != v.GetColdUs() && s.limitsColdServers(v.GetService())
+}
+
+// limitsColdServers reports whether the configuration limits the requests to cold servers of a service. The cold time of others, which every report
+// of a server that has started changes, is no reason to build the table again.
+func (s *Replica) limitsColdServers(service string) bool {
+	for _, l := range s.config.GetServiceLimits() {
+		if l.GetService() == service {
+			return l.GetColdRate() > 0
+		}
+	}
+	return false
 }
 
 // isOlderCopy reports whether an entry is from the copy from which the store was restored, and older than what the server reported since: it then
@@ -440,5 +451,5 @@
 
 func sameServer(a, b *schema.MeshServer) bool {
 	return (a.BornMs == nil) == (b.BornMs == nil) && a.GetBornMs() == b.GetBornMs() && a.GetService() == b.GetService() && a.GetAddress() == b.GetAddress() && a.GetDraining() == b.GetDraining() &&
-		a.GetGone() == b.GetGone() && a.GetSlots() == b.GetSlots() && a.GetDataCentre() == b.GetDataCentre() && a.GetColdUs() == b.GetColdUs()
+		a.GetGone() == b.GetGone() && a.GetSlots() == b.GetSlots() && a.GetDataCentre() == b.GetDataCentre()
 }
--- a/mesh/replica_test.go
+++ b/mesh/replica_test.go
@@ -452,3 +452,19 @@
 		})
 	}
 }
+
+// TestColdTimeRebuildsTable guards against a table that is built again with each report of each server which has started, where nothing depends on
+// its cold time, and against a cold time that goes unnoticed where something does.
+func TestColdTimeRebuildsTable(t *testing.T) {
+	for name, rate := range map[string]float64{"no limit": 0, "a limit": 12} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewReplica()
+			s.Merge(jaypitch.MeshUpdate{Revision: 1, Config: &schema.MeshConfig{Version: 1, Services: []string{"x"}, ServiceLimits: []*schema.MeshServiceLimits{{Service: "x", ColdUs: 3e6, ColdRate: rate}}},
+				Servers: []*schema.MeshServer{{Id: "i-1", Service: "x", Address: "10.0.0.1:1", Slots: 1, ColdUs: 3e6, Revision: 1}}}, time.Now())
+			before := s.Table()
+			s.Merge(jaypitch.MeshUpdate{Revision: 2, Servers: []*schema.MeshServer{{Id: "i-1", Service: "x", Address: "10.0.0.1:1", Slots: 1, ColdUs: 2e6, Revision: 2}}}, time.Now())
+			is.Equal(s.Table() != before, rate > 0)
+		})
+	}
+}
