--- a/admit/cold.go
+++ b/admit/cold.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// ColdLimits is what a server bears while it is cold, right after a start under traffic. The zero ColdLimits has no limit.
+// ColdLimits is what a server sustains while it is cold, right after a start under traffic. The zero ColdLimits has no limit.
 type ColdLimits struct {
 	// Time is how long a server is cold after its start.
 	Time time.Duration
@@ -54,7 +54,7 @@
 	// coldSlackShare is the share of the slack that a burst may use. The rest is for requests that arrive at the server later than they start
 	// here, and for those from before a restart of this process.
 	coldSlackShare = 0.25
-	// coldDebt bounds the time for which nothing starts at a server that has just become cold, after more requests than it bears: the bound holds
+	// coldDebt bounds the time for which nothing starts at a server that has just become cold, after more requests than it sustains: the bound holds
 	// for windows of a second.
 	coldDebt = time.Second
 	// survivalTime is how long after a failed connection a response to an earlier request proves that the server's process lives on: a process that
@@ -86,7 +86,7 @@
 	c.limits = l
 }
 
-// ObserveEntry records the server's entry in the store. A new process of the server counts as cold until its own word, or the entry's if it can't be
+// ObserveEntry records the server's entry in the store. A new process of the server counts as cold until it says otherwise itself, or the entry's if it can't be
 // asked. It reports whether the entry is of another process than the last one.
 func (c *ColdState) ObserveEntry(id string, bornMS int64, cold time.Duration, now time.Time) bool {
 	before := c.entry
@@ -193,7 +193,7 @@
 }
 
 // coldPacer spaces the requests to a server while it is cold. It counts all requests, so that a server which becomes cold after more requests than it
-// bears gets none until those no longer count.
+// sustains gets none until those no longer count.
 type coldPacer struct {
 	interval, tolerance time.Duration
 	// until is when the limit ends; zero if there is none now.
@@ -283,7 +283,7 @@
 	p.cold.start(now)
 }
 
-// SetCold sets what the server bears while it is cold, and until when it counts as cold; zero if it is warm. A queued request waits no longer than
+// SetCold sets what the server sustains while it is cold, and until when it counts as cold; zero if it is warm. A queued request waits no longer than
 // until then.
 func (s *Slots) SetCold(l ColdLimits, until time.Time) {
 	s.pacer.cold.set(l, until)
--- a/admit/cold_test.go
+++ b/admit/cold_test.go
@@ -119,7 +119,7 @@
 	is.Equal(c.ProbeAt(), slotsStart.Add(2*time.Second))
 }
 
-// TestColdServerGetsTooMuch guards against more requests to a cold server in any second than it bears. It asks for much more than that, at random
+// TestColdServerGetsTooMuch guards against more requests to a cold server in any second than it sustains. It asks for much more than that, at random
 // times, with the server cold and warm by turns.
 func TestColdServerGetsTooMuch(t *testing.T) {
 	for _, l := range []ColdLimits{coldLimits, {Time: 3 * time.Second, Rate: 9.2, Overage: 1.5, Slack: 8}, {Time: time.Second, Rate: 12, Overage: 1},
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -27,12 +27,11 @@
 	started time.Time
 }
 
-// Slots assigns the slots of one backend server, and keeps to its rate limits: the one that it names, and the one while it is cold. Of the requests that can still meet
-// their target, the one with the earliest target deadline goes first, and a request that can't complete by its deadline doesn't start.
-// Long requests leave the slots free that more urgent ones need; see slotsFor. Once the queue has not been empty for a while, requests are
-// refused at random, with a probability that grows with the queue and is somewhat higher for less urgent ranks, and higher for a caller that
-// asks for more than its fair share of its rank. It isn't safe for
-// concurrent use.
+// Slots assigns the slots of one backend server, and keeps to its rate limits: the one that it names, and the one while it is cold. Of the
+// requests that can still meet their target, the one with the earliest target deadline goes first, and a request that can't complete by its
+// deadline doesn't start. Long requests leave the slots free that more urgent ones need; see slotsFor. Once the queue has not been empty for a
+// while, requests are refused at random, with a probability that grows with the queue and is somewhat higher for less urgent ranks, and higher
+// for a caller that asks for more than its fair share of its rank. It isn't safe for concurrent use.
 type Slots struct {
 	size       int
 	inProgress map[*SlotRequest]bool
@@ -410,7 +409,7 @@
 }
 
 // startsBefore reports whether a starts before b: those that can still meet their target come first, then the earlier target deadline. While the
-// server is cold it bears a number of requests, however long they take, so the most urgent rank comes first.
+// server is cold it sustains a number of requests, however long they take, so the most urgent rank comes first.
 func (s *Slots) startsBefore(a, b *SlotRequest, now time.Time) bool {
 	if a.Rank != b.Rank && s.pacer.coldAt(now) {
 		return a.Rank < b.Rank
--- a/cmd/jaypitchd/cold_test.go
+++ b/cmd/jaypitchd/cold_test.go
@@ -34,9 +34,9 @@
 	}
 }
 
-// TestServersRestartUnderLoad ends both servers of a mesh under load, with or without their sidecars, and starts them again, cold, with new IDs. It guards against sidecars that send
-// a cold server more than it bears, and against ones that go on pacing it when it is warm. The bound leaves room for a slow machine: the pace is 14 in
-// a second.
+// TestServersRestartUnderLoad ends both servers of a mesh under load, with or without their sidecars, and starts them again, cold, with new IDs.
+// It guards against sidecars that send a cold server more than it sustains, and against ones that go on pacing it when it is warm. The bound
+// leaves room for a slow machine: the pace is 14 in a second.
 func TestServersRestartUnderLoad(t *testing.T) {
 	t.Run("servers", func(t *testing.T) { testRestartUnderLoad(t, 22, false) })
 	t.Run("hosts", func(t *testing.T) { testRestartUnderLoad(t, 23, true) })
@@ -66,7 +66,7 @@
 		}
 		return true
 	}
-	eventually(t, "both servers get more than a cold one bears", busy)
+	eventually(t, "both servers get more than a cold one sustains", busy)
 	for i, h := range m.Hosts {
 		h.Server.Crash()
 		if sidecarsToo {
@@ -88,5 +88,5 @@
 		is.True(h.Server.MostInSecond(started, started.Add(cold)) <= allowed)
 		h.Server.ServeHealth("/health", 0)
 	}
-	eventually(t, "both servers get more than a cold one bears again", busy)
+	eventually(t, "both servers get more than a cold one sustains again", busy)
 }
--- a/inbound/cold_test.go
+++ b/inbound/cold_test.go
@@ -119,7 +119,7 @@
 	return most
 }
 
-// TestColdServerIsFlooded guards against a receiver that sends its cold server more than it bears, and one that goes on pacing a warm one.
+// TestColdServerIsFlooded guards against a receiver that sends its cold server more than it sustains, and one that goes on pacing a warm one.
 func TestColdServerIsFlooded(t *testing.T) {
 	t.Run("a cold server", func(t *testing.T) {
 		is := is.New(t)
--- a/inbound/evacuation.go
+++ b/inbound/evacuation.go
@@ -17,8 +17,8 @@
 	return func(r *Receiver) { r.unconfirmed = unconfirmed }
 }
 
-// checkAdmissible refuses a request if the replica may be outdated or lacks the limits of a cold server, or if the server's data centre is evacuated. The server is nil if it isn't
-// listed.
+// checkAdmissible refuses a request if the replica may be outdated or lacks the limits of a cold server, or if the server's data centre is
+// evacuated. The server is nil if it isn't listed.
 func (r *Receiver) checkAdmissible(t *mesh.Table, v *schema.MeshServer) *jaypitch.Error {
 	if r.unconfirmed != nil && r.unconfirmed() {
 		return jaypitch.Errorf(jaypitch.CodeUnconfirmed, "the process was paused and its replica isn't confirmed yet")
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -245,8 +245,7 @@
 }
 
 // checkServer refuses a request if the sidecar is stopping, or if the server is draining, not listed in the replica or in an evacuated data
-// centre. An unlisted
-// server is accepted if the sender holds a newer position.
+// centre. An unlisted server is accepted if the sender holds a newer position.
 func (r *Receiver) checkServer(f *jaypitch.MeshRequest) *jaypitch.Error {
 	position := r.replica.Position()
 	senderIsNewer := r.replica.Comparable(f.Position()) && f.Position().Compare(position) > 0
--- a/jaypitch.go
+++ b/jaypitch.go
@@ -38,7 +38,7 @@
 //   - retry budget: bound on retries in proportion to requests
 //   - probe: a health or liveness check; unresponsive: no reply to requests or probes for a while ("silent" in reports)
 //   - transfer: a large response that waits for its turn on a host's network link
-//   - cold: of a server, bearing few requests after a start under traffic; warm otherwise
+//   - cold: of a server, sustaining few requests after a start under traffic; warm otherwise
 //   - evacuated: of a data centre, whose servers get no requests until the operators take that back
 //   - draining, stopping: a server that takes no new requests and finishes the rest; a proxy in the same state
 //
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -23,7 +23,7 @@
 	// Servers holds all servers in use by ID, including draining ones.
 	Servers map[string]*schema.MeshServer
 
-	// serviceLimits holds what the servers of a service bear, by the service's name.
+	// serviceLimits holds what the servers of a service sustain, by the service's name.
 	serviceLimits map[string]*schema.MeshServiceLimits
 	// named holds the services that the configuration names; nil without a configuration.
 	named map[string]bool
@@ -97,7 +97,7 @@
 	return t.named == nil || t.named[service]
 }
 
-// ServiceLimits returns what the servers of a service bear; nil if the configuration doesn't tell.
+// ServiceLimits returns what the servers of a service sustain; nil if the configuration doesn't tell.
 func (t *Table) ServiceLimits(service string) *schema.MeshServiceLimits {
 	return t.serviceLimits[service]
 }
--- a/route/cold.go
+++ b/route/cold.go
@@ -12,7 +12,7 @@
 	// random part of the time, at least half, so that not all try the server at once.
 	maxColdCaution = 2 * time.Second
 	// untriedFactor raises the cost of a cold server by this many times for each attempt in progress, until its first load report tells how much it
-	// bears.
+	// sustains.
 	untriedFactor = 4
 )
 
--- a/route/cold_load_test.go
+++ b/route/cold_load_test.go
@@ -311,8 +311,8 @@
 	t.Logf("most requests in a second at a cold server: %d", r.mostInSecond())
 }
 
-// TestAllServersColdAtOnce replays the start of all hosts of a mesh at once, as after a loss of power: 30 servers that are cold for 3 s and bear 12
-// requests a second meanwhile, and 747 requests a second for them. It guards against a server that gets more than it bears, against a queue that
+// TestAllServersColdAtOnce replays the start of all hosts of a mesh at once, as after a loss of power: 30 servers that are cold for 3 s and sustain 12
+// requests a second meanwhile, and 747 requests a second for them. It guards against a server that gets more than it sustains, against a queue that
 // outlasts the cold time since clients come back too early, and against less urgent requests that take the room of more urgent ones.
 func TestAllServersColdAtOnce(t *testing.T) {
 	const back = int(rampColdTime/time.Second) + 2
@@ -333,7 +333,7 @@
 						is.True(r.share(r.onTarget, k.rule, i) >= 0.9)
 					}
 				}
-				// All servers together bear 360 requests a second while they are cold.
+				// All servers together sustain 360 requests a second while they are cold.
 				least := 0.9 * min(1, rampHosts*rampColdRate/kinds[0].perSecond)
 				if len(kinds) > 1 {
 					least = 0.7
@@ -342,7 +342,7 @@
 			})
 		}
 	}
-	t.Run("without a limit a server gets more than it bears", func(t *testing.T) {
+	t.Run("without a limit a server gets more than it sustains", func(t *testing.T) {
 		is := is.New(t)
 		r := newRamp(admit.ColdLimits{}, rampHosts, 1)
 		r.play(urgentKind)
