Let the soak test's stand-ins agree with themselves

Change: the health endpoint tells the remaining time; proxies keep the sender's address; ports of hosts are below the ephemeral ones.

--- a/scenario/mesh.go
+++ b/scenario/mesh.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -80,8 +82,14 @@
 	storePageSize       = 50
 	// headerTimeout limits the time to read a request's header; reading one over loopback takes far less.
 	headerTimeout = 10 * time.Second
+	// firstMeshPort and meshPorts are the range of the ports of hosts. Linux gives connections the ports from 32768 on.
+	firstMeshPort = 16000
+	meshPorts     = 16000
+	maxPortTries  = 100
 )
 
+var errNoPort = errors.New("no port of the range for hosts is free")
+
 // NewMesh starts a stand-in for the store, whose first configuration has one rule per path prefix. It starts no hosts. The sidecars of
 // hosts that are added later run sidecarProgram, with settings files in dir.
 // Meshes that run at once need different networks (0 to 255).
@@ -93,7 +101,7 @@
 	m := &Mesh{Store: standin.NewStore(storeReadsPerSecond, storePageSize), sidecarProgram: sidecarProgram, dir: dir, network: network, storeAddress: l.Addr().String(), DataCentre: "here", ports: map[string]int{}}
 	go (&storeServer{server: &http.Server{Handler: m.Store, ReadHeaderTimeout: headerTimeout}, listener: l}).run()
 	for _, name := range []string{"callers", "peers", "ready", "metrics", "backend"} {
-		if m.ports[name], err = freePort(); err != nil {
+		if m.ports[name], err = meshPort(); err != nil {
 			return nil, err
 		}
 	}
@@ -254,6 +262,17 @@
 	return b.text.Write(p)
 }
 
+// meshPort returns a port below those that connections get, since a sidecar that is started again needs its ports on its host's address.
+func meshPort() (int, error) {
+	for range maxPortTries {
+		port := firstMeshPort + rand.IntN(meshPorts)
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return port, l.Close()
+		}
+	}
+	return 0, errNoPort
+}
+
 func freePort() (int, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -38,8 +38,12 @@
 	Complete bool
 	// Foreign is true if the ID or a part of the body belongs to no response to this request.
 	Foreign bool
-	// GaveUp is true if the client ended the request itself.
-	GaveUp bool
+	// GaveUp is true if the client ended the request itself, NotSent if it got no connection to send it on.
+	GaveUp, NotSent bool
+	// Spoiled is true if the body is that of a server whose bodies don't end, which nobody can complete.
+	Spoiled bool
+	// Detail describes the end of the response, for failures.
+	Detail string
 }
 
 // Failure is a promise that wasn't kept.
@@ -63,8 +67,8 @@
 	versions     []version
 	// inForce holds the newest version seen of each process.
 	inForce map[int]int64
-	// stops holds when each host's planned stop began; a host that isn't stopping has none.
-	stops map[int]time.Time
+	// stops holds the last planned stop of each host.
+	stops map[int]*stop
 	// begun and repeated are the times within the retry window of requests, and of arrivals beyond the first.
 	begun, repeated []time.Time
 	checks          map[Promise]int
@@ -76,13 +80,20 @@
 type request struct {
 	kind                       Kind
 	host                       int
+	begun                      time.Time
 	arrived, executed, refused int
 	lost                       bool
 }
 
+// stop is a planned stop of a sidecar.
+type stop struct {
+	from, until time.Time // until is zero while it lasts
+}
+
 type server struct {
 	centre              string
 	closedAt            time.Time // zero if it takes requests
+	goneAt              time.Time // zero if no evidence said gone since
 	coldFrom, coldUntil time.Time
 	limit               float64 // negative if it names none
 	limitAt             time.Time
@@ -132,6 +143,8 @@
 	PlannedStop Promise = "planned stop"
 	// ServedAgain is that all clients are served after the last fault.
 	ServedAgain Promise = "served again"
+	// Answered is that a sidecar which runs doesn't close the connection of a client instead of a response.
+	Answered Promise = "answered"
 	// Memory is that a process stays within its memory.
 	Memory Promise = "memory"
 	// Alive is that no process ends on its own.
@@ -157,11 +170,11 @@
 
 // Promises are all promises, in the order of the report.
 var Promises = []Promise{OwnResponse, AtMostOnce, TruthfulRefusal, ClosedServer, Evacuation, ColdServer, VersionInForce, RetryBudget, NamedLimit, PlannedStop,
-	ServedAgain, Memory, Alive, Evidence}
+	Answered, ServedAgain, Memory, Alive, Evidence}
 
 // NewChecker returns a checker for the servers of hosts in data centres. Every server takes requests.
 func NewChecker(b Bounds, dataCentres ...string) *Checker {
-	c := &Checker{bounds: b, requests: map[string]*request{}, centres: map[string]*centre{}, inForce: map[int]int64{}, stops: map[int]time.Time{},
+	c := &Checker{bounds: b, requests: map[string]*request{}, centres: map[string]*centre{}, inForce: map[int]int64{}, stops: map[int]*stop{},
 		checks: map[Promise]int{}, statuses: map[int]int{}}
 	for _, d := range dataCentres {
 		c.servers = append(c.servers, &server{centre: d, limit: -1})
@@ -172,7 +185,7 @@
 
 // Begin records that a client of a host sends a request.
 func (c *Checker) Begin(id string, k Kind, host int, at time.Time) {
-	c.requests[id] = &request{kind: k, host: host}
+	c.requests[id] = &request{kind: k, host: host, begun: at}
 	c.begun = append(c.begun, at)
 }
 
@@ -180,7 +193,7 @@
 func (c *Checker) End(id string, r Result, at time.Time) {
 	q := c.requests[id]
 	c.statuses[r.Status]++
-	c.check(OwnResponse, !r.Foreign, id, at, "the response belongs to another request")
+	c.check(OwnResponse, !r.Foreign, id, at, "the response belongs to another request: "+r.Detail)
 	if r.Status == http.StatusOK && r.Complete {
 		c.check(OwnResponse, q.executed > 0, id, at, "a response without an execution")
 	}
@@ -188,9 +201,14 @@
 		q.refused = r.Status
 		c.check(TruthfulRefusal, q.executed == 0, id, at, fmt.Sprintf("refused with %d after %d executions", r.Status, q.executed))
 	}
-	if stop, stopping := c.stops[q.host]; stopping && !r.GaveUp && !at.Before(stop) {
-		q.lost = r.Status == 0 || q.kind != Download && !r.Complete
-		c.check(PlannedStop, !q.lost || q.arrived == 0, id, at, fmt.Sprintf("the sidecar of host %d stopped without a response to a request that it had read", q.host))
+	unanswered := !r.GaveUp && !r.NotSent && r.Status == 0
+	// A client sees the end of its connection after the end of the process.
+	if s := c.stops[q.host]; s != nil && !at.Before(s.from) && (s.until.IsZero() || q.begun.Before(s.until)) {
+		q.lost = unanswered || r.Status != 0 && q.kind != Download && !r.Complete && !r.Spoiled && !r.GaveUp
+		c.check(PlannedStop, !q.lost || q.arrived == 0, id, at, fmt.Sprintf("the sidecar of host %d stopped without a response to a request that it had read: %s", q.host, r.Detail))
+	}
+	if !c.processDisturbed(q.host, q.begun, at) {
+		c.check(Answered, !unanswered, id, at, fmt.Sprintf("the sidecar of host %d, which ran all the time, closed the connection without a response: %s", q.host, r.Detail))
 	}
 }
 
@@ -209,6 +227,9 @@
 				c.fail(ClosedServer, a.ID, a.At, fmt.Sprintf("a request reached the server of host %d, %s after it closed", host, a.At.Sub(s.closedAt)))
 			}
 		}
+		if !s.goneAt.IsZero() && a.At.After(s.goneAt) {
+			c.fail(Evidence, a.ID, a.At, fmt.Sprintf("a request reached the server of host %d, %s after the evidence said gone", host, a.At.Sub(s.goneAt)))
+		}
 	}
 	d := c.centres[s.centre]
 	if !d.evacuatedAt.IsZero() && a.At.After(c.due(d.evacuatedAt, c.bounds.Evacuation, host, false)) {
@@ -272,7 +293,7 @@
 	if !s.closedAt.IsZero() && at.After(c.due(s.closedAt, c.bounds.Drain, host, false)) {
 		c.checks[ClosedServer]++
 	}
-	s.closedAt = time.Time{}
+	s.closedAt, s.goneAt = time.Time{}, time.Time{}
 }
 
 // Evacuate records that the store has acknowledged an evacuation.
@@ -297,6 +318,14 @@
 	}
 }
 
+// GoneServer records evidence that nothing gets through to a server, which was asked for after it closed.
+func (c *Checker) GoneServer(host int, at time.Time) {
+	if s := c.servers[host]; !s.closedAt.IsZero() && s.goneAt.IsZero() {
+		c.checks[Evidence]++
+		s.goneAt = at
+	}
+}
+
 // Cold records that a server is cold for a time span.
 func (c *Checker) Cold(host int, from, until time.Time) {
 	c.servers[host].coldFrom, c.servers[host].coldUntil = from, until
@@ -345,12 +374,12 @@
 
 // Stop records that a planned stop of a host's sidecar is about to begin.
 func (c *Checker) Stop(host int, at time.Time) {
-	c.stops[host] = at
+	c.stops[host] = &stop{from: at}
 }
 
 // Stopped records the end of a planned stop.
 func (c *Checker) Stopped(host int, err error, at time.Time) {
-	delete(c.stops, host)
+	c.stops[host].until = at
 	c.check(PlannedStop, err == nil, "", at, fmt.Sprintf("host %d: %v", host, err))
 }
 
@@ -392,6 +421,13 @@
 	return due
 }
 
+// processDisturbed reports whether the process of a host was paused or ended within a time span.
+func (c *Checker) processDisturbed(host int, from, until time.Time) bool {
+	return slices.ContainsFunc(c.disturbances, func(d *disturbance) bool {
+		return d.process && d.host == host && !d.from.After(until) && (d.until.IsZero() || !d.until.Before(from))
+	})
+}
+
 func (c *Checker) check(p Promise, kept bool, id string, at time.Time, detail string) {
 	c.checks[p]++
 	if !kept {
--- a/soak/client.go
+++ b/soak/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -37,6 +38,8 @@
 	slowReadBytes = 6_000
 	slowReadTime  = 40 * time.Millisecond
 	maxBodyBytes  = 2_000
+	// shownBytes is how much of the end of a body a failure shows.
+	shownBytes = 40
 )
 
 func newClient(r *session, host, number int) *client {
@@ -84,11 +87,12 @@
 	resp, err := c.http.Do(q)
 	if err != nil {
 		e, ok := err.(net.Error)
-		return Result{GaveUp: ok && e.Timeout()}
+		var op *net.OpError
+		return Result{GaveUp: ok && e.Timeout(), NotSent: errors.As(err, &op) && op.Op == "dial", Detail: err.Error()}
 	}
 	defer resp.Body.Close()
 	var body bytes.Buffer
-	for err == nil {
+	for err == nil && body.Len() <= len(expected) {
 		if _, err = io.CopyN(&body, resp.Body, slowReadBytes); slow {
 			time.Sleep(slowReadTime)
 		}
@@ -98,8 +102,11 @@
 	id := resp.Header.Get(platform.HeaderNames.RequestID)
 	r.Foreign = id != "" && id != q.Header.Get(platform.HeaderNames.RequestID)
 	if r.Status == http.StatusOK {
-		r.Foreign = r.Foreign || !strings.HasPrefix(expected, body.String()) || r.Complete && body.Len() != len(expected)
+		r.Spoiled = !r.Complete && strings.HasPrefix(body.String(), standin.EndlessUnit)
+		r.Foreign = r.Foreign || !r.Spoiled && (!strings.HasPrefix(expected, body.String()) || r.Complete && body.Len() != len(expected))
 	}
+	r.Detail = fmt.Sprintf("status %d, request %s, server %q, %d bytes of %d that end with %.60q, %v", r.Status, id, resp.Header.Get(platform.HeaderNames.ServerID), body.Len(), len(expected),
+		body.Bytes()[max(0, body.Len()-shownBytes):], err)
 	return r
 }
 
--- a/soak/injection.go
+++ b/soak/injection.go
@@ -96,15 +96,14 @@
 		j.session.record(func(c *Checker, now time.Time) { c.Limit(i, -1, now) })
 		server.NameLimit("")
 	case TurnCold:
-		server.ServeHealth(healthPath, coldTime)
-		j.session.list(i, func(e *standin.ServerEntry) { e.Cold = j.fault.For })
 		told := time.Now()
+		server.ServeHealthUntil(healthPath, told.Add(j.fault.For))
+		j.session.list(i, func(e *standin.ServerEntry) { e.Cold = j.fault.For })
 		// The server counts as cold from the time at which its sidecar has to know.
 		if pause(ctx, 2*time.Second+slack) {
 			j.session.record(func(c *Checker, now time.Time) { c.Cold(i, now, told.Add(j.fault.For)) })
 		}
 		pause(ctx, time.Until(told.Add(j.fault.For)))
-		server.ServeHealth(healthPath, 0)
 		j.session.list(i, func(e *standin.ServerEntry) { e.Cold = 0 })
 	case Drain, Leave:
 		if j.fault.Kind == Leave {
@@ -156,7 +155,7 @@
 	now := time.Now()
 	j.session.record(func(c *Checker, _ time.Time) { c.Cold(i, now, now.Add(coldTime)) })
 	err := j.session.mesh.RestartServer(i, slots, serviceTime)
-	id, server := j.session.mesh.Hosts[i].ServerID, j.session.mesh.Hosts[i].Server
+	id := j.session.mesh.Hosts[i].ServerID
 	j.session.storeMu.Unlock()
 	if err != nil {
 		panic(err) // the address was in use by this process alone
@@ -165,7 +164,6 @@
 		e.ID, e.Cold, e.Draining, e.BornMS, e.Seq = id, coldTime, false, now.UnixMilli(), 0
 	})
 	pause(ctx, time.Until(now.Add(coldTime)))
-	server.ServeHealth(healthPath, 0)
 	j.session.list(i, func(e *standin.ServerEntry) { e.Cold = 0 })
 }
 
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -13,7 +13,8 @@
 type proxy struct {
 	listener net.Listener
 	target   string
-	dialer   net.Dialer
+	// source returns the IP address of the connection to the target by that of the client; nil for any.
+	source func(client net.IP) net.IP
 
 	mu    sync.Mutex
 	delay time.Duration
@@ -39,16 +40,13 @@
 	proxyDialTimeout = time.Second
 )
 
-// newProxy starts a proxy. Its connections to the target come from a local IP address, if one is given.
-func newProxy(address, target, localIP string) (*proxy, error) {
+// newProxy starts a proxy. Its connections to the target come from the address that source returns, unless source is nil.
+func newProxy(address, target string, source func(client net.IP) net.IP) (*proxy, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("starting a proxy: %w", err)
 	}
-	p := &proxy{listener: l, target: target, dialer: net.Dialer{Timeout: proxyDialTimeout}, conns: map[*proxiedConn]bool{}}
-	if localIP != "" {
-		p.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(localIP)}
-	}
+	p := &proxy{listener: l, target: target, source: source, conns: map[*proxiedConn]bool{}}
 	go p.run()
 	return p, nil
 }
@@ -90,7 +88,11 @@
 }
 
 func (c *proxiedConn) run() {
-	out, err := c.proxy.dialer.Dial("tcp", c.proxy.target)
+	dialer := net.Dialer{Timeout: proxyDialTimeout}
+	if c.proxy.source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: c.proxy.source(c.ends[fromClient].RemoteAddr().(*net.TCPAddr).IP)}
+	}
+	out, err := dialer.Dial("tcp", c.proxy.target)
 	if err != nil {
 		c.reset()
 		return
--- a/soak/run.go
+++ b/soak/run.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +35,8 @@
 	Length time.Duration
 	// Network is the third byte of the addresses; runs at the same time need different ones.
 	Network int
+	// Planted are faults of the stand-ins for servers, by host, that the run has to report.
+	Planted map[int]standin.Behaviour
 	// Progress gets a line each second.
 	Progress io.Writer
 }
@@ -67,20 +71,23 @@
 }
 
 const (
-	slots       = 8
-	serviceTime = 5 * time.Millisecond
-	slowService = 400 * time.Millisecond
-	healthPath  = "/health"
-	coldTime    = 3 * time.Second
-	coldRate    = 12
-	coldOverage = 1.5
-	coldSlack   = 8
-	memoryMB    = 128
-	mebibyte    = 1 << 20
+	// frontNetwork is the second byte of the addresses of proxies.
+	frontNetwork = 19
+	slots        = 8
+	serviceTime  = 5 * time.Millisecond
+	slowService  = 400 * time.Millisecond
+	healthPath   = "/health"
+	coldTime     = 3 * time.Second
+	coldRate     = 12
+	coldOverage  = 1.5
+	coldSlack    = 8
+	memoryMB     = 128
+	mebibyte     = 1 << 20
 	// slack is for a machine that others use too: processes without processor time have missed bounds by up to a second.
-	slack           = 1500 * time.Millisecond
-	retryRatio      = 0.2
-	retrySlack      = 60
+	slack = 1500 * time.Millisecond
+	// retryRatio and retrySlack are below the defaults, so that a small load reaches the bound.
+	retryRatio      = 0.05
+	retrySlack      = 20
 	retryWindow     = 10 * time.Second
 	startTimeout    = time.Minute
 	recoveryTimeout = 30 * time.Second
@@ -142,7 +149,7 @@
 	r.version = 1
 	r.configure()
 	m.SidecarSettings = fmt.Sprintf("memory_mb = %d", memoryMB)
-	m.Settings = fmt.Sprintf("[bounds]\ncold_overage = %g\ncold_slack = %d\n", coldOverage, coldSlack)
+	m.Settings = fmt.Sprintf("[bounds]\ncold_overage = %g\ncold_slack = %d\nretry_ratio = %g\nretry_slack = %d\n", coldOverage, coldSlack, retryRatio, retrySlack)
 	m.Fronts = r.front
 	m.ServerOptions = r.serverOptions
 	for i, h := range r.hosts {
@@ -153,27 +160,41 @@
 		h.entry = standin.ServerEntry{ID: m.Hosts[i].ServerID, Address: h.proxies[linkBackend].listener.Addr().String(), Service: scenario.MeshService,
 			DataCentre: m.DataCentre, Slots: slots, BornMS: time.Now().UnixMilli()}
 		r.list(i, func(*standin.ServerEntry) {})
+		m.Hosts[i].Server.SetBehaviour(r.config.Planted[i])
 	}
 	return nil
 }
 
-// front starts the proxies of a host. Other hosts know the host by their IP address.
+// front returns the addresses of a host's proxies. Other hosts know the host by their IP address. The proxies of all hosts are started before the
+// first sidecar, so that no connection has taken one of their ports.
 func (r *session) front(i int, b scenario.FrontBackends) (backend, store string, err error) {
 	_, port, _ := strings.Cut(b.Backend, ":")
 	_, peersPort, _ := strings.Cut(b.Peers, ":")
-	ip := fmt.Sprintf("127.19.%d.%d", r.config.Network, i+1)
-	h := r.hosts[i]
-	if h.proxies[linkBackend], err = newProxy(ip+":"+port, b.Backend, ""); err != nil {
-		return "", "", err
-	}
-	if h.proxies[linkPeers], err = newProxy(ip+":"+peersPort, b.Peers, ""); err != nil {
-		return "", "", err
-	}
-	// The store tells hosts apart by their addresses.
-	if h.proxies[linkStore], err = newProxy(ip+":0", b.Store, r.hostIP(i)); err != nil {
-		return "", "", err
+	for n, h := range r.hosts {
+		if i > 0 {
+			break
+		}
+		ip := fmt.Sprintf("127.%d.%d.%d:", frontNetwork, r.config.Network, n+1)
+		if h.proxies[linkBackend], err = newProxy(ip+port, r.hostIP(n)+":"+port, nil); err != nil {
+			return "", "", err
+		}
+		if h.proxies[linkPeers], err = newProxy(ip+peersPort, r.hostIP(n)+":"+peersPort, frontIP); err != nil {
+			return "", "", err
+		}
+		// The store tells hosts apart by their addresses.
+		if h.proxies[linkStore], err = newProxy(ip+"0", b.Store, func(net.IP) net.IP { return net.ParseIP(r.hostIP(n)) }); err != nil {
+			return "", "", err
+		}
 	}
-	return h.proxies[linkBackend].listener.Addr().String(), h.proxies[linkStore].listener.Addr().String(), nil
+	p := r.hosts[i].proxies
+	return p[linkBackend].listener.Addr().String(), p[linkStore].listener.Addr().String(), nil
+}
+
+// frontIP returns the IP address of the proxies of a sidecar, by which the other sidecars know it.
+func frontIP(sidecar net.IP) net.IP {
+	out := slices.Clone(sidecar.To4())
+	out[1] = frontNetwork
+	return out
 }
 
 func (r *session) hostIP(i int) string {
@@ -181,9 +202,9 @@
 }
 
 func (r *session) serverOptions(i int) []standin.ServerOption {
-	cold := time.Duration(0)
+	cold := time.Now()
 	if !r.began.IsZero() {
-		cold = coldTime
+		cold = cold.Add(coldTime)
 	}
 	return []standin.ServerOption{standin.WithHealth(healthPath, cold), standin.WithDownloads(downloadPrefix, downloadBytes), standin.WithObserver(func(a standin.Arrival) {
 		r.record(func(c *Checker, _ time.Time) { c.Arrive(i, a) })
@@ -413,20 +434,39 @@
 	}
 }
 
-// sampleEvidence asks whether the data centres that are evacuated are empty.
+// sampleEvidence asks whether evacuated data centres, and servers that are draining or removed, get nothing any more.
 func (s *sampler) sampleEvidence() {
+	r := s.session
 	for _, d := range DataCentres {
-		s.session.storeMu.Lock()
-		evacuated := s.session.evacuated[d]
-		s.session.storeMu.Unlock()
-		var report evidence.Report
-		if !evacuated || json.Unmarshal(s.get("/evidence?timeout=1s&data_centre="+d), &report) != nil || report.Verdict != evidence.VerdictGone {
+		r.storeMu.Lock()
+		evacuated := r.evacuated[d]
+		r.storeMu.Unlock()
+		if evacuated && s.gone("data_centre="+d) {
+			r.record(func(c *Checker, now time.Time) { c.Gone(d, now) })
+		}
+	}
+	for i, h := range r.hosts {
+		r.storeMu.Lock()
+		closed, seq, address := !h.listed || h.entry.Draining, h.entry.Seq, h.entry.Address
+		r.storeMu.Unlock()
+		if !closed || !s.gone("backend="+address) {
 			continue
 		}
-		s.session.record(func(c *Checker, now time.Time) { c.Gone(d, now) })
+		r.storeMu.Lock()
+		// A number that has changed may mean that the server opened meanwhile. After a restore it changes too.
+		if seq == h.entry.Seq {
+			r.record(func(c *Checker, now time.Time) { c.GoneServer(i, now) })
+		}
+		r.storeMu.Unlock()
 	}
 }
 
+// gone reports whether the evidence says that a subject gets nothing any more.
+func (s *sampler) gone(subject string) bool {
+	var report evidence.Report
+	return json.Unmarshal(s.get("/evidence?timeout=1s&"+subject), &report) == nil && report.Verdict == evidence.VerdictGone
+}
+
 func (s *sampler) get(path string) []byte {
 	resp, err := s.session.metrics.Get(s.session.mesh.URL(s.host, "metrics") + path)
 	if err != nil {
--- a/standin/cold.go
+++ b/standin/cold.go
@@ -12,6 +12,8 @@
 	// path is empty if there is none.
 	path string
 	cold time.Duration
+	// coldUntil, if set, is when the cold time ends, which replaces cold.
+	coldUntil time.Time
 	// silent leaves out the cold time.
 	silent   bool
 	requests int
@@ -21,7 +23,14 @@
 func (s *MeshServer) ServeHealth(path string, cold time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.health.path, s.health.cold, s.health.silent = path, cold, false
+	s.health = health{path: path, cold: cold, requests: s.health.requests}
+}
+
+// ServeHealthUntil makes the server respond at a path, with the time for which it stays cold until a deadline.
+func (s *MeshServer) ServeHealthUntil(path string, coldUntil time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health = health{path: path, coldUntil: coldUntil, requests: s.health.requests}
 }
 
 // HideCold makes the server leave the cold time out of its responses at the health path.
@@ -81,6 +90,9 @@
 	s.health.requests++
 	s.mu.Unlock()
 	s.observe(Arrival{At: time.Now(), Outcome: HealthCheck})
+	if !h.coldUntil.IsZero() {
+		h.cold = max(0, time.Until(h.coldUntil))
+	}
 	status, cold := "200 OK", fmt.Sprintf("X-Cold-Ms: %d\r\n", h.cold.Milliseconds())
 	if full {
 		status = "503 Service Unavailable"
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -108,6 +108,10 @@
 	AnonymousRefusal Behaviour = "repeats_anonymous_refusal"
 	// AnonymousMisdirected is AnonymousRefusal with the refusal of a request that was meant for another server.
 	AnonymousMisdirected Behaviour = "repeats_anonymous_421"
+	// FalseRefusal executes the request, and responds that it didn't. No sidecar can notice that.
+	FalseRefusal Behaviour = "refuses_falsely"
+	// FalseBody responds with a body that isn't that of the request. No sidecar can notice that.
+	FalseBody Behaviour = "false_body"
 )
 
 const (
@@ -123,6 +127,9 @@
 // LargeBytes is the length of the body of a response that Large sends.
 const LargeBytes = 300_000
 
+// EndlessUnit is what the body of EndlessBody repeats.
+const EndlessUnit = "no answer"
+
 // headerLeaving states that a server is leaving.
 const headerLeaving = "Server-Leaving"
 
@@ -146,9 +153,9 @@
 	return func(s *MeshServer) { s.observe = observe }
 }
 
-// WithHealth is ServeHealth from the first connection on.
-func WithHealth(path string, cold time.Duration) ServerOption {
-	return func(s *MeshServer) { s.health.path, s.health.cold = path, cold }
+// WithHealth is ServeHealthUntil from the first connection on.
+func WithHealth(path string, coldUntil time.Time) ServerOption {
+	return func(s *MeshServer) { s.health = health{path: path, coldUntil: coldUntil} }
 }
 
 // WithDownloads makes the server respond at paths that begin with a prefix with a body made by DownloadBody.
@@ -345,6 +352,10 @@
 		return writeEndlessly(w, start, unit)
 	}
 	switch b {
+	case FalseRefusal:
+		response = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%sX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", notice, attemptID)
+	case FalseBody:
+		response = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno", notice, attemptID)
 	case Large:
 		response = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: %d\r\n\r\n", notice, attemptID, LargeBytes) + strings.Repeat("x", LargeBytes)
 	case Extra:
@@ -391,7 +402,7 @@
 	case EndlessChunk:
 		return head + attemptID + "\r\nTransfer-Encoding: chunked\r\n\r\n", "0;no answer"
 	case EndlessBody:
-		return head + attemptID + "\r\n\r\n", "no answer"
+		return head + attemptID + "\r\n\r\n", EndlessUnit
 	case EndlessOther:
 		return head + "other\r\nContent-Length: 1000000000000\r\n\r\n", "no answer"
 	}
