--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -32,6 +32,7 @@
 	flag.Uint64Var(&c.Seed, "seed", uint64(time.Now().UnixNano()), "seed of all faults and clients")
 	flag.IntVar(&c.Processes, "processes", 20, "number of sidecars")
 	flag.DurationVar(&c.Length, "for", time.Minute, "time in which faults are injected")
+	flag.DurationVar(&c.Slack, "slack", soak.DefaultSlack, "time added to bounds on time")
 	flag.Parse()
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", c.Seed))
 	if err != nil {
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -71,10 +71,13 @@
 	stops map[int]*stop
 	// begun and repeated are the times within the retry window of requests, and of arrivals beyond the first.
 	begun, repeated []time.Time
-	checks          map[Promise]int
-	failures        []Failure
-	peakMemory      int64
-	statuses        map[int]int
+	// unsettled are failures of rates that a stall of the observing process may explain.
+	unsettled  []Failure
+	stalls     []disturbance
+	checks     map[Promise]int
+	failures   []Failure
+	peakMemory int64
+	statuses   map[int]int
 }
 
 type request struct {
@@ -164,6 +167,8 @@
 	// limitOverage is the factor by which requests in a second may exceed a named limit: the pace has a burst of half a second. limitSlack is for
 	// the request that starts the second, and for the one that was on its way.
 	limitOverage, limitSlack = 1.5, 2
+	// stallReach is the second of a rate, and as much again for arrivals that were late.
+	stallReach = 2 * time.Second
 	// maxFailures is the number of failures of one promise that are kept; a broken promise often fails many checks.
 	maxFailures = 10
 )
@@ -202,12 +207,13 @@
 		c.check(TruthfulRefusal, q.executed == 0, id, at, fmt.Sprintf("refused with %d after %d executions", r.Status, q.executed))
 	}
 	unanswered := !r.GaveUp && !r.NotSent && r.Status == 0
+	stopped := c.stops[q.host]
+	switch {
 	// A client sees the end of its connection after the end of the process.
-	if s := c.stops[q.host]; s != nil && !at.Before(s.from) && (s.until.IsZero() || q.begun.Before(s.until)) {
+	case stopped != nil && !at.Before(stopped.from) && (stopped.until.IsZero() || q.begun.Before(stopped.until)):
 		q.lost = unanswered || r.Status != 0 && q.kind != Download && !r.Complete && !r.Spoiled && !r.GaveUp
 		c.check(PlannedStop, !q.lost || q.arrived == 0, id, at, fmt.Sprintf("the sidecar of host %d stopped without a response to a request that it had read: %s", q.host, r.Detail))
-	}
-	if !c.processDisturbed(q.host, q.begun, at) {
+	case !c.processDisturbed(q.host, q.begun, at):
 		c.check(Answered, !unanswered, id, at, fmt.Sprintf("the sidecar of host %d, which ran all the time, closed the connection without a response: %s", q.host, r.Detail))
 	}
 }
@@ -274,11 +280,11 @@
 	s.recent = append(after(s.recent, a.At.Add(-time.Second)), a.At)
 	if !a.At.Before(s.coldFrom) && a.At.Before(s.coldUntil) {
 		n := len(after(slices.Clone(s.recent), s.coldFrom.Add(-1)))
-		c.check(ColdServer, float64(n) <= c.bounds.ColdPerSecond, a.ID, a.At, fmt.Sprintf("%d requests in a second at the cold server of host %d, allowed are %g", n, host, c.bounds.ColdPerSecond))
+		c.checkRate(ColdServer, float64(n) <= c.bounds.ColdPerSecond, a.ID, a.At, fmt.Sprintf("%d requests in a second at the cold server of host %d, allowed are %g", n, host, c.bounds.ColdPerSecond))
 	}
 	if s.limit >= 0 && a.At.After(c.due(s.limitAt, time.Second, host, true)) {
 		allowed := math.Ceil(limitOverage*s.limit) + limitSlack
-		c.check(NamedLimit, float64(len(s.recent)) <= allowed, a.ID, a.At, fmt.Sprintf("%d requests in a second at the server of host %d, which names %g", len(s.recent), host, s.limit))
+		c.checkRate(NamedLimit, float64(len(s.recent)) <= allowed, a.ID, a.At, fmt.Sprintf("%d requests in a second at the server of host %d, which names %g", len(s.recent), host, s.limit))
 	}
 }
 
@@ -435,6 +441,35 @@
 	}
 }
 
+// checkRate is check for a rate, which is settled later.
+func (c *Checker) checkRate(p Promise, kept bool, id string, at time.Time, detail string) {
+	c.checks[p]++
+	if !kept {
+		c.unsettled = append(c.unsettled, Failure{Promise: p, ID: id, At: at, Detail: detail})
+	}
+}
+
+// Stall records that the observing process was held up in a time span, so that the arrivals of that span were seen together at its end.
+func (c *Checker) Stall(from, until time.Time) {
+	c.stalls = append(c.stalls, disturbance{from: from, until: until})
+}
+
+// Settle reports the failures of rates up to a time, until which all stalls have been recorded. A failure doesn't count if a stall overlaps its second.
+func (c *Checker) Settle(until time.Time) {
+	c.unsettled = slices.DeleteFunc(c.unsettled, func(f Failure) bool {
+		if !f.At.Before(until) {
+			return false
+		}
+		stalled := slices.ContainsFunc(c.stalls, func(s disturbance) bool {
+			return s.from.Before(f.At) && s.until.After(f.At.Add(-stallReach))
+		})
+		if !stalled {
+			c.fail(f.Promise, f.ID, f.At, f.Detail)
+		}
+		return true
+	})
+}
+
 func (c *Checker) fail(p Promise, id string, at time.Time, detail string) {
 	n := 0
 	for _, f := range c.failures {
--- a/soak/injection.go
+++ b/soak/injection.go
@@ -100,7 +100,7 @@
 		server.ServeHealthUntil(healthPath, told.Add(j.fault.For))
 		j.session.list(i, func(e *standin.ServerEntry) { e.Cold = j.fault.For })
 		// The server counts as cold from the time at which its sidecar has to know.
-		if pause(ctx, 2*time.Second+slack) {
+		if pause(ctx, 2*time.Second+j.session.config.Slack) {
 			j.session.record(func(c *Checker, now time.Time) { c.Cold(i, now, told.Add(j.fault.For)) })
 		}
 		pause(ctx, time.Until(told.Add(j.fault.For)))
--- a/soak/report.go
+++ b/soak/report.go
@@ -24,7 +24,9 @@
 	Faults    []Count
 	Promises  []PromiseCount
 	MemoryMiB float64
-	Failures  []Failure
+	// Stalls is how often this process didn't run for so long that rates couldn't be checked.
+	Stalls   int
+	Failures []Failure
 }
 
 // Count is a number by name.
@@ -40,12 +42,12 @@
 }
 
 const (
-	textFormat = "seed %d, %d processes, %s, %d requests, largest memory %.1f MiB, logs in %s\n"
+	textFormat = "seed %d, %d processes, %s, %d requests, largest memory %.1f MiB, %d stalls of the observer, logs in %s\n"
 	page       = `<!DOCTYPE html>
 <meta charset="utf-8"><title>Soak test, seed {{.Seed}}</title>
 <style>body{font-family:sans-serif;margin:2em}table{border-collapse:collapse;margin-bottom:1em}td,th{border:1px solid #bbb;padding:.2em .6em;text-align:left}td.n{text-align:right}tr.failed{background:#fdd}</style>
 <h1>Soak test, seed {{.Seed}}: {{if .Failures}}failed{{else}}passed{{end}}</h1>
-<p>{{.Processes}} processes, faults for {{.Length}}, {{.Requests}} requests, largest memory {{printf "%.1f" .MemoryMiB}} MiB, logs in {{.Dir}}.</p>
+<p>{{.Processes}} processes, faults for {{.Length}}, {{.Requests}} requests, largest memory {{printf "%.1f" .MemoryMiB}} MiB, {{.Stalls}} stalls of the observer, logs in {{.Dir}}.</p>
 <table><tr><th>promise<th>checks<th>failures{{range .Promises}}<tr{{if .Failures}} class="failed"{{end}}><td>{{.Promise}}<td class="n">{{.Checks}}<td class="n">{{.Failures}}{{end}}</table>
 <table><tr><th>fault<th>times{{range .Faults}}<tr><td>{{.Name}}<td class="n">{{.N}}{{end}}</table>
 <table><tr><th>status<th>requests{{range .Statuses}}<tr><td>{{.Name}}<td class="n">{{.N}}{{end}}</table>
@@ -60,8 +62,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.checker
+	c.Settle(time.Now())
 	out := &Report{Seed: r.config.Seed, Processes: r.config.Processes, Length: r.config.Length, Dir: r.config.Dir, Requests: len(c.requests),
-		MemoryMiB: float64(c.peakMemory) / mebibyte, Failures: c.failures}
+		MemoryMiB: float64(c.peakMemory) / mebibyte, Stalls: r.stalls, Failures: c.failures}
 	for _, s := range slices.Sorted(maps.Keys(c.statuses)) {
 		out.Statuses = append(out.Statuses, Count{fmt.Sprint(s), c.statuses[s]})
 	}
@@ -83,7 +86,7 @@
 
 // Write writes the report as tables.
 func (r *Report) Write(w io.Writer) error {
-	fmt.Fprintf(w, textFormat, r.Seed, r.Processes, r.Length, r.Requests, r.MemoryMiB, r.Dir)
+	fmt.Fprintf(w, textFormat, r.Seed, r.Processes, r.Length, r.Requests, r.MemoryMiB, r.Stalls, r.Dir)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "PROMISE\tCHECKS\tFAILURES")
 	for _, p := range r.Promises {
--- a/soak/run.go
+++ b/soak/run.go
@@ -37,6 +37,8 @@
 	Network int
 	// Planted are faults of the stand-ins for servers, by host, that the run has to report.
 	Planted map[int]standin.Behaviour
+	// Slack is added to the bounds on time.
+	Slack time.Duration
 	// Progress gets a line each second.
 	Progress io.Writer
 }
@@ -52,6 +54,7 @@
 	mu      sync.Mutex
 	checker *Checker
 	faults  map[FaultKind]int
+	stalls  int
 
 	// storeMu serialises what operators and servers write to the store.
 	storeMu     sync.Mutex
@@ -83,8 +86,8 @@
 	coldSlack    = 8
 	memoryMB     = 128
 	mebibyte     = 1 << 20
-	// slack is for a machine that others use too: processes without processor time have missed bounds by up to a second.
-	slack = 1500 * time.Millisecond
+	// DefaultSlack is for a machine that others use too.
+	DefaultSlack = 1500 * time.Millisecond
 	// retryRatio and retrySlack are below the defaults, so that a small load reaches the bound.
 	retryRatio      = 0.05
 	retrySlack      = 20
@@ -92,7 +95,10 @@
 	startTimeout    = time.Minute
 	recoveryTimeout = 30 * time.Second
 	// stopTimeout is beyond the grace time of 6 s in which a sidecar stops.
-	stopTimeout     = 10 * time.Second
+	stopTimeout = 10 * time.Second
+	// stallTolerance is the part of a second that arrivals may be late without being excused: at 14 a second the bound of 26 has room for more.
+	stallInterval   = 50 * time.Millisecond
+	stallTolerance  = 200 * time.Millisecond
 	sampleInterval  = 500 * time.Millisecond
 	metricsTimeout  = 2 * time.Second
 	clientsPerHost  = 3
@@ -123,7 +129,7 @@
 		r.hosts = append(r.hosts, &host{})
 		centres = append(centres, DataCentres[i%len(DataCentres)])
 	}
-	r.checker = NewChecker(Bounds{Drain: 2 * time.Second, Evacuation: 5 * time.Second, Version: 2 * time.Second, Slack: slack, ColdPerSecond: coldRate*coldOverage + coldSlack,
+	r.checker = NewChecker(Bounds{Drain: 2 * time.Second, Evacuation: 5 * time.Second, Version: 2 * time.Second, Slack: c.Slack, ColdPerSecond: coldRate*coldOverage + coldSlack,
 		RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow, MemoryBytes: memoryMB * mebibyte}, centres...)
 	if err := r.start(); err != nil {
 		r.close()
@@ -273,6 +279,7 @@
 		clients.Go(func() { (&sampler{session: r, host: i}).loop(ctx) })
 	}
 	clients.Go(func() { r.loopProgress(ctx) })
+	clients.Go(func() { r.loopStalls(ctx) })
 	for _, f := range Plan(r.config.Seed, len(r.hosts), r.config.Length) {
 		if !pause(ctx, time.Until(r.began.Add(f.At))) {
 			break
@@ -310,6 +317,22 @@
 	}
 }
 
+// loopStalls records when this process didn't run, and settles what needs to know that.
+func (r *session) loopStalls(ctx context.Context) {
+	last := time.Now()
+	for pause(ctx, stallInterval) {
+		now := time.Now()
+		r.record(func(c *Checker, _ time.Time) {
+			if now.Sub(last) > stallInterval+stallTolerance {
+				c.Stall(last, now)
+				r.stalls++
+			}
+			c.Settle(now.Add(-time.Second))
+		})
+		last = now
+	}
+}
+
 // loopProgress prints a line each second.
 func (r *session) loopProgress(ctx context.Context) {
 	for pause(ctx, time.Second) {
