Describe the soak test, and refuse several hosts at the store at once

Cause: operators and contributors need to know what it checks and what it doesn't. The store refuses every third host; half of the evacuations are taken back and requested again at once.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -155,9 +155,11 @@
 	// Evidence is that nothing gets through once the evidence says gone.
 	Evidence Promise = "evidence"
 
-	// Read requests are idempotent, Write requests aren't; responses to Download requests are large.
-	Read     Kind = "read"
-	Write    Kind = "write"
+	// Read is the kind of an idempotent request.
+	Read Kind = "read"
+	// Write is the kind of a request that isn't idempotent.
+	Write Kind = "write"
+	// Download is the kind of an idempotent request with a large response.
 	Download Kind = "download"
 
 	// AllHosts stands for every host in a disturbance.
--- a/soak/injection.go
+++ b/soak/injection.go
@@ -17,6 +17,9 @@
 	host    *host
 }
 
+// refusedEvery is the step between the hosts that the store refuses at once.
+const refusedEvery = 3
+
 // run injects the fault, waits for its length and ends it. It ends the fault also if the context ends.
 func (j *injection) run(ctx context.Context) {
 	switch f := j.fault; f.Kind {
@@ -31,7 +34,7 @@
 		j.disturb(f.Host, func() { j.runLink(ctx) })
 	case Compact:
 		j.session.mesh.Store.Compact()
-	case Restore, FailStore, SlowStore, StallStore, ResetStore, RefuseHost:
+	case Restore, FailStore, SlowStore, StallStore, ResetStore, RefuseHosts:
 		j.disturb(AllHosts, func() { j.runStore(ctx) })
 	case Evacuate:
 		j.evacuate(ctx)
@@ -206,9 +209,15 @@
 		s.SetFault(standin.StoreFault{StallWatches: true})
 	case ResetStore:
 		s.SetFault(standin.StoreFault{Reset: true})
-	case RefuseHost:
-		ip := j.session.hostIP(j.fault.Host) + ":"
-		s.SetFault(standin.StoreFault{Status: 403, AppliesTo: func(remote string) bool { return strings.HasPrefix(remote, ip) }})
+	case RefuseHosts:
+		refused := map[string]bool{}
+		for i := j.fault.Host % refusedEvery; i < len(j.session.hosts); i += refusedEvery {
+			refused[j.session.hostIP(i)] = true
+		}
+		s.SetFault(standin.StoreFault{Status: 403, AppliesTo: func(remote string) bool {
+			ip, _, _ := strings.Cut(remote, ":")
+			return refused[ip]
+		}})
 	}
 	pause(ctx, j.fault.For)
 	s.SetFault(standin.StoreFault{})
@@ -245,6 +254,11 @@
 func (j *injection) evacuate(ctx context.Context) {
 	d := DataCentres[j.fault.Host%len(DataCentres)]
 	j.set(d, true)
+	if j.fault.For%2 == 0 {
+		// Half of the evacuations are taken back and requested again at once.
+		j.set(d, false)
+		j.set(d, true)
+	}
 	pause(ctx, j.fault.For)
 	j.set(d, false)
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -37,36 +37,57 @@
 }
 
 const (
-	// Pause, Kill and Restart are about a host's sidecar: SIGSTOP, SIGKILL and SIGTERM.
-	Pause   FaultKind = "pause"
-	Kill    FaultKind = "kill"
+	// Pause stops a host's sidecar with SIGSTOP and continues it.
+	Pause FaultKind = "pause"
+	// Kill ends a host's sidecar with SIGKILL and starts it again.
+	Kill FaultKind = "kill"
+	// Restart does the same with SIGTERM.
 	Restart FaultKind = "restart"
-	// Misbehave and Slow are about the responses of a host's server.
+	// Misbehave changes the responses of a host's server.
 	Misbehave FaultKind = "misbehave"
-	Slow      FaultKind = "slow_server"
-	// The following are about the server itself.
-	Replace   FaultKind = "replace"
-	TurnCold  FaultKind = "turn_cold"
-	Drain     FaultKind = "drain"
-	Remove    FaultKind = "remove"
-	Leave     FaultKind = "leave"
+	// Slow makes a host's server slow.
+	Slow FaultKind = "slow_server"
+	// Replace starts another server at the address, which is cold.
+	Replace FaultKind = "replace"
+	// TurnCold makes a server cold that goes on.
+	TurnCold FaultKind = "turn_cold"
+	// Drain lists a server as draining.
+	Drain FaultKind = "drain"
+	// Remove removes a server's entry.
+	Remove FaultKind = "remove"
+	// Leave lets a server state that it is leaving, drains and replaces it.
+	Leave FaultKind = "leave"
+	// NameLimit lets a server name a rate limit.
 	NameLimit FaultKind = "name_limit"
-	// The following are about a link of a host.
-	Delay      FaultKind = "delay"
-	Reset      FaultKind = "reset"
-	CutOneWay  FaultKind = "cut_one_way"
-	Silence    FaultKind = "silence"
-	Compact    FaultKind = "compact"
-	Restore    FaultKind = "restore"
-	FailStore  FaultKind = "fail_store"
-	SlowStore  FaultKind = "slow_store"
+	// Delay delays the bytes of a host's link.
+	Delay FaultKind = "delay"
+	// Reset resets the connections of a host's link.
+	Reset FaultKind = "reset"
+	// CutOneWay loses the bytes of one direction of a host's link.
+	CutOneWay FaultKind = "cut_one_way"
+	// Silence loses the bytes of both directions.
+	Silence FaultKind = "silence"
+	// Compact removes the store's history.
+	Compact FaultKind = "compact"
+	// Restore replaces the store's content by an older copy.
+	Restore FaultKind = "restore"
+	// FailStore answers the store's readers with 503.
+	FailStore FaultKind = "fail_store"
+	// SlowStore delays the store's responses.
+	SlowStore FaultKind = "slow_store"
+	// StallStore makes the store's watches return no changes.
 	StallStore FaultKind = "stall_store"
+	// ResetStore closes the connections of the store's readers.
 	ResetStore FaultKind = "reset_store"
-	RefuseHost FaultKind = "refuse_hosts"
-	Evacuate   FaultKind = "evacuate"
-	Configure  FaultKind = "configure"
-	// EndlessHead and IdleClients are hostile clients.
+	// RefuseHosts answers the reads of every third host with 403.
+	RefuseHosts FaultKind = "refuse_hosts"
+	// Evacuate evacuates the data centre of a host and takes that back.
+	Evacuate FaultKind = "evacuate"
+	// Configure writes the next version of the configuration.
+	Configure FaultKind = "configure"
+	// EndlessHead opens connections with heads that don't end.
 	EndlessHead FaultKind = "endless_head"
+	// IdleClients opens connections without a request.
 	IdleClients FaultKind = "idle_clients"
 
 	linkBackend link = 0
@@ -84,7 +105,7 @@
 		{kinds: []FaultKind{Misbehave, Misbehave, Misbehave, Slow}, gap: 1200 * time.Millisecond, short: 300 * time.Millisecond, long: 2 * time.Second, ofHost: true},
 		{kinds: []FaultKind{Replace, TurnCold, Drain, Remove, Leave, NameLimit}, gap: 2 * time.Second, short: 4 * time.Second, long: 7 * time.Second, ofHost: true},
 		{kinds: []FaultKind{Delay, Reset, CutOneWay, Silence}, gap: 2 * time.Second, short: 200 * time.Millisecond, long: 2 * time.Second, ofHost: true},
-		{kinds: []FaultKind{Compact, Restore, FailStore, SlowStore, StallStore, ResetStore, RefuseHost}, gap: 12 * time.Second, short: 500 * time.Millisecond, long: 3 * time.Second, alone: true},
+		{kinds: []FaultKind{Compact, Restore, FailStore, SlowStore, StallStore, ResetStore, RefuseHosts}, gap: 12 * time.Second, short: 500 * time.Millisecond, long: 3 * time.Second, alone: true},
 		{kinds: []FaultKind{Evacuate}, gap: 4 * time.Second, short: 9 * time.Second, long: 14 * time.Second, alone: true},
 		{kinds: []FaultKind{Configure}, gap: 3 * time.Second},
 		{kinds: []FaultKind{EndlessHead, IdleClients}, gap: 4 * time.Second, short: time.Second, long: 4 * time.Second},
--- a/soak/run.go
+++ b/soak/run.go
@@ -57,10 +57,9 @@
 	stalls  int
 
 	// storeMu serialises what operators and servers write to the store.
-	storeMu     sync.Mutex
-	version     int
-	evacuated   map[string]bool
-	storeCopies []standin.StoreCopy
+	storeMu   sync.Mutex
+	version   int
+	evacuated map[string]bool
 }
 
 // host is a host of a run.
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -117,8 +117,9 @@
 const (
 	// Executed is the outcome of a request that took a slot.
 	Executed Outcome = "executed"
-	// Refused is the outcome of a request that got 503, Misdirected of one that got 421.
-	Refused     Outcome = "refused"
+	// Refused is the outcome of a request that got 503.
+	Refused Outcome = "refused"
+	// Misdirected is the outcome of a request for another server, which got 421.
 	Misdirected Outcome = "misdirected"
 	// HealthCheck is the outcome of a request at the health path.
 	HealthCheck Outcome = "health_check"
--- a/standin/recovery.go
+++ b/standin/recovery.go
@@ -38,10 +38,12 @@
 }
 
 const (
-	// Idempotent, NonIdempotent and Download are the kinds of rules.
-	Idempotent    RuleKind = "idempotent"
+	// Idempotent requests may be executed again.
+	Idempotent RuleKind = "idempotent"
+	// NonIdempotent requests are executed once at most.
 	NonIdempotent RuleKind = "non_idempotent"
-	Download      RuleKind = "download"
+	// Download requests are idempotent and have large responses.
+	Download RuleKind = "download"
 )
 
 // evacuateKey is followed by the name of a data centre.
