Count a request that gets no response at all as a failure of the soak test

Cause: a client that waited for 6 s at a running sidecar counted as one that gave up. Change: the promise answered includes it; failures are counted. The stand-in store has its limits in one place.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -53,7 +53,7 @@
 		return e
 	}
 	if err == nil && len(r.Failures) > 0 {
-		err = fmt.Errorf("%d promises weren't kept, seed %d", len(r.Failures), c.Seed)
+		err = fmt.Errorf("promises weren't kept, seed %d", c.Seed)
 	}
 	return err
 }
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -72,9 +72,11 @@
 	// begun and repeated are the times within the retry window of requests, and of arrivals beyond the first.
 	begun, repeated []time.Time
 	// unsettled are failures of rates that a stall of the observing process may explain.
-	unsettled  []Failure
-	stalls     []disturbance
-	checks     map[Promise]int
+	unsettled []Failure
+	stalls    []disturbance
+	checks    map[Promise]int
+	// broken counts all failures, failures holds the first of each promise.
+	broken     map[Promise]int
 	failures   []Failure
 	peakMemory int64
 	statuses   map[int]int
@@ -146,7 +148,7 @@
 	PlannedStop Promise = "planned stop"
 	// ServedAgain is that all clients are served after the last fault.
 	ServedAgain Promise = "served again"
-	// Answered is that a sidecar which runs doesn't close the connection of a client instead of a response.
+	// Answered is that a sidecar which runs neither closes the connection of a client instead of a response nor lets it wait for one beyond all deadlines.
 	Answered Promise = "answered"
 	// Memory is that a process stays within its memory.
 	Memory Promise = "memory"
@@ -182,7 +184,7 @@
 // NewChecker returns a checker for the servers of hosts in data centres. Every server takes requests.
 func NewChecker(b Bounds, dataCentres ...string) *Checker {
 	c := &Checker{bounds: b, requests: map[string]*request{}, centres: map[string]*centre{}, inForce: map[int]int64{}, stops: map[int]*stop{},
-		checks: map[Promise]int{}, statuses: map[int]int{}}
+		checks: map[Promise]int{}, broken: map[Promise]int{}, statuses: map[int]int{}}
 	for _, d := range dataCentres {
 		c.servers = append(c.servers, &server{centre: d, limit: -1})
 		c.centres[d] = &centre{}
@@ -217,7 +219,7 @@
 		q.lost = unanswered || r.Status != 0 && q.kind != Download && !r.Complete && !r.Spoiled && !r.GaveUp
 		c.check(PlannedStop, !q.lost || q.arrived == 0, id, at, fmt.Sprintf("the sidecar of host %d stopped without a response to a request that it had read: %s", q.host, r.Detail))
 	case !c.processDisturbed(q.host, q.begun, at):
-		c.check(Answered, !unanswered, id, at, fmt.Sprintf("the sidecar of host %d, which ran all the time, closed the connection without a response: %s", q.host, r.Detail))
+		c.check(Answered, !unanswered && !(r.GaveUp && r.Status == 0), id, at, fmt.Sprintf("the sidecar of host %d, which ran all the time, sent no response: %s", q.host, r.Detail))
 	}
 }
 
@@ -474,13 +476,8 @@
 }
 
 func (c *Checker) fail(p Promise, id string, at time.Time, detail string) {
-	n := 0
-	for _, f := range c.failures {
-		if f.Promise == p {
-			n++
-		}
-	}
-	if n < maxFailures {
+	c.broken[p]++
+	if c.broken[p] <= maxFailures {
 		c.failures = append(c.failures, Failure{Promise: p, ID: id, At: at, Detail: detail})
 	}
 }
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -121,6 +121,7 @@
 		}},
 		"exit status":                {PlannedStop, func(s *sequence) { s.Stop(0, at(0)); s.Stopped(0, errors.New("exit status 2"), at(1)) }},
 		"closed connection":          {Answered, func(s *sequence) { s.begin("a", Read, 0); s.end("a", 0, 1) }},
+		"no response at all":         {Answered, func(s *sequence) { s.begin("a", Read, 0); s.End("a", Result{GaveUp: true}, at(6)) }},
 		"not served again":           {ServedAgain, func(s *sequence) { s.SeeServed(0, false, at(0)) }},
 		"too much memory":            {Memory, func(s *sequence) { s.SeeMemory(0, 101, at(0)) }},
 		"ended process":              {Alive, func(s *sequence) { s.SeeProcess(0, false, at(0)) }},
@@ -171,7 +172,7 @@
 		},
 		"another process":   func(s *sequence) { s.SeeVersion(0, 1, 3, at(0)); s.SeeVersion(0, 2, 2, at(1)) },
 		"without a version": func(s *sequence) { s.Configure(3, at(0)); s.SeeVersion(0, 1, 0, at(10)) },
-		"client gave up":    func(s *sequence) { s.begin("a", Read, 0); s.End("a", Result{GaveUp: true}, at(6)) },
+		"client gave up":    func(s *sequence) { s.begin("a", Read, 0); s.End("a", Result{Status: 200, GaveUp: true}, at(6)) },
 		"killed": func(s *sequence) {
 			s.begin("a", Read, 0)
 			s.arrive("a", 0)
--- a/soak/report.go
+++ b/soak/report.go
@@ -35,7 +35,7 @@
 	N    int
 }
 
-// PromiseCount is the number of checks and kept failures of a promise.
+// PromiseCount is the number of checks and failures of a promise.
 type PromiseCount struct {
 	Promise          Promise
 	Checks, Failures int
@@ -72,13 +72,7 @@
 		out.Faults = append(out.Faults, Count{string(k), r.faults[k]})
 	}
 	for _, p := range Promises {
-		n := PromiseCount{Promise: p, Checks: c.checks[p]}
-		for _, f := range c.failures {
-			if f.Promise == p {
-				n.Failures++
-			}
-		}
-		out.Promises = append(out.Promises, n)
+		out.Promises = append(out.Promises, PromiseCount{Promise: p, Checks: c.checks[p], Failures: c.broken[p]})
 	}
 	r.explainAll(out.Failures)
 	return out
--- a/standin/recovery.go
+++ b/standin/recovery.go
@@ -86,10 +86,7 @@
 		encoded = append(encoded, map[string]any{"name": r.Prefix, "kind": r.Kind, "targetLatencyS": r.TargetS, "priority": 1, "match": map[string]any{"prefix": r.Prefix},
 			"action": map[string]any{"service": service.Name, "timeoutS": r.TimeoutS, "maxAttempts": r.Attempts}})
 	}
-	s.mu.Lock()
-	limits := map[string]any{"maxHeaderBytes": s.limits.HeadBytes, "maxBodyBytes": s.limits.BodyBytes, "headerTimeoutS": s.limits.HeadS, "idleTimeoutS": s.limits.IdleS}
-	s.mu.Unlock()
-	return s.putJSON(ConfigKey, map[string]any{"version": "r" + strconv.Itoa(version), "limits": limits,
+	return s.putJSON(ConfigKey, map[string]any{"version": "r" + strconv.Itoa(version), "limits": s.encodedLimits(),
 		"listeners": []any{map[string]any{"host": host, "routeRules": encoded}},
 		"clusters":  []any{map[string]any{"name": service.Name, "healthPath": service.HealthPath, "coldStartS": service.Cold.Seconds(), "coldPerS": service.ColdRate}}})
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -116,18 +116,21 @@
 }
 
 func (s *Store) putConfig(version int, host, service, kind string, prefixes []string) int64 {
-	s.mu.Lock()
-	limits := map[string]any{"maxHeaderBytes": s.limits.HeadBytes, "maxBodyBytes": s.limits.BodyBytes, "headerTimeoutS": s.limits.HeadS, "idleTimeoutS": s.limits.IdleS}
-	s.mu.Unlock()
 	var rules []map[string]any
 	for _, p := range prefixes {
 		rules = append(rules, map[string]any{"name": p, "kind": kind, "targetLatencyS": 0.5, "priority": 1, "match": map[string]any{"prefix": p},
 			"action": map[string]any{"service": service, "timeoutS": s.ruleTimeout.Seconds(), "maxAttempts": 2}})
 	}
-	return s.putJSON(ConfigKey, map[string]any{"version": "r" + strconv.Itoa(version), "limits": limits,
+	return s.putJSON(ConfigKey, map[string]any{"version": "r" + strconv.Itoa(version), "limits": s.encodedLimits(),
 		"listeners": []any{map[string]any{"host": host, "routeRules": rules}}, "clusters": []any{map[string]any{"name": service}}})
 }
 
+func (s *Store) encodedLimits() map[string]any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return map[string]any{"maxHeaderBytes": s.limits.HeadBytes, "maxBodyBytes": s.limits.BodyBytes, "headerTimeoutS": s.limits.HeadS, "idleTimeoutS": s.limits.IdleS}
+}
+
 // PutServer writes a server's entry.
 func (s *Store) PutServer(id, address, service, state string, slots int) int64 {
 	return s.putJSON("servers/"+id, map[string]any{"address": address, "info": map[string]any{"service": service, "version": "v1", "zone": "z", "slots": slots},
