The soak test sets the bounds of cold servers in their own section

The settings moved when the parts were merged, so the sidecars of the soak test refused theirs and TestPlantedServers and TestShortRun ended with "the sidecars didn't serve within the time for a start". Both pass with the race detector (27 s).

--- a/soak/run.go
+++ b/soak/run.go
@@ -158,7 +158,7 @@
 	r.version = 1
 	r.configure()
 	m.SidecarSettings = fmt.Sprintf("memory_mb = %d", memoryMB)
-	m.Settings = fmt.Sprintf("[bounds]\ncold_overage = %g\ncold_slack = %d\nretry_ratio = %g\nretry_slack = %d\n", coldOverage, coldSlack, retryRatio, retrySlack)
+	m.Settings = fmt.Sprintf("[cold]\noverage = %g\nslack = %d\n[bounds]\nretry_ratio = %g\nretry_slack = %d\n", coldOverage, coldSlack, retryRatio, retrySlack)
 	m.Fronts = r.front
 	m.ServerOptions = r.serverOptions
 	for i, h := range r.hosts {
