--- a/scenario/mesh.go
+++ b/scenario/mesh.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,6 +27,12 @@
 	SidecarSettings string
 	// Settings follows the other settings of hosts that are added later.
 	Settings string
+	// DataCentre is the data centre in the settings of the hosts that are added from now on.
+	DataCentre string
+	// ServerOptions, if set, returns the options of the backend server of a host, also of one that is started again.
+	ServerOptions func(i int) []standin.ServerOption
+	// Fronts, if set, returns the addresses at which the sidecar of a new host reaches its backend server and the store.
+	Fronts func(i int, b FrontBackends) (backend, store string, err error)
 
 	sidecarProgram string
 	dir            string
@@ -34,6 +42,11 @@
 	ports        map[string]int
 }
 
+// FrontBackends are the addresses that proxies of Mesh.Fronts connect to.
+type FrontBackends struct {
+	Backend, Peers, Store string
+}
+
 // MeshHost is a host with its backend server and its sidecar.
 type MeshHost struct {
 	IP string
@@ -69,8 +82,14 @@
 	storePageSize       = 50
 	// headerTimeout limits the time to read a request's header; reading one over loopback takes far less.
 	headerTimeout = 10 * time.Second
+	// firstMeshPort and meshPorts are the range of the ports of hosts. Linux gives connections the ports from 32768 on.
+	firstMeshPort = 16000
+	meshPorts     = 16000
+	maxPortTries  = 100
 )
 
+var errNoPort = errors.New("no port of the range for hosts is free")
+
 // NewMesh starts a stand-in for the store, whose first configuration has one rule per path prefix. It starts no hosts. The sidecars of
 // hosts that are added later run sidecarProgram, with settings files in dir.
 // Meshes that run at once need different networks (0 to 255).
@@ -79,10 +98,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for the store: %w", err)
 	}
-	m := &Mesh{Store: standin.NewStore(storeReadsPerSecond, storePageSize), sidecarProgram: sidecarProgram, dir: dir, network: network, storeAddress: l.Addr().String(), ports: map[string]int{}}
+	m := &Mesh{Store: standin.NewStore(storeReadsPerSecond, storePageSize), sidecarProgram: sidecarProgram, dir: dir, network: network, storeAddress: l.Addr().String(), DataCentre: "here", ports: map[string]int{}}
 	go (&storeServer{server: &http.Server{Handler: m.Store, ReadHeaderTimeout: headerTimeout}, listener: l}).run()
 	for _, name := range []string{"callers", "peers", "ready", "metrics", "backend"} {
-		if m.ports[name], err = freePort(); err != nil {
+		if m.ports[name], err = meshPort(); err != nil {
 			return nil, err
 		}
 	}
@@ -100,23 +119,36 @@
 func (m *Mesh) AddHost(slots int, serviceTime time.Duration) error {
 	i := len(m.Hosts)
 	h := &MeshHost{IP: fmt.Sprintf("127.18.%d.%d", m.network, i+1), ServerID: fmt.Sprintf("server_%d", i)}
-	server, err := standin.NewMeshServer(fmt.Sprintf("%s:%d", h.IP, m.ports["backend"]), h.ServerID, slots, serviceTime)
+	server, err := standin.NewMeshServer(fmt.Sprintf("%s:%d", h.IP, m.ports["backend"]), h.ServerID, slots, serviceTime, m.serverOptions(i)...)
 	if err != nil {
 		return fmt.Errorf("starting a backend server: %w", err)
 	}
 	h.Server = server
 	m.Hosts = append(m.Hosts, h)
-	text := fmt.Sprintf("[sidecar]\nhost = host_%d\ndata_centre = here\nservice = %s\nbackend = %s\n%s\n[listen]\n", i, MeshService, server.Address(), m.SidecarSettings)
+	backend, store := server.Address(), m.storeAddress
+	if m.Fronts != nil {
+		if backend, store, err = m.Fronts(i, FrontBackends{Backend: backend, Peers: m.Address(i, "peers"), Store: store}); err != nil {
+			return fmt.Errorf("starting proxies: %w", err)
+		}
+	}
+	text := fmt.Sprintf("[sidecar]\nhost = host_%d\ndata_centre = %s\nservice = %s\nbackend = %s\n%s\n[listen]\n", i, m.DataCentre, MeshService, backend, m.SidecarSettings)
 	for _, name := range []string{"callers", "peers", "ready", "metrics"} {
 		text += fmt.Sprintf("%s = %s:%d\n", name, h.IP, m.ports[name])
 	}
-	text += fmt.Sprintf("[store]\naddress = %s\n%s", m.storeAddress, m.Settings)
+	text += fmt.Sprintf("[store]\naddress = %s\n%s", store, m.Settings)
 	if err := os.WriteFile(m.settingsFile(i), []byte(text), 0o600); err != nil {
 		return fmt.Errorf("writing the settings of a sidecar: %w", err)
 	}
 	return m.StartSidecar(i)
 }
 
+func (m *Mesh) serverOptions(i int) []standin.ServerOption {
+	if m.ServerOptions == nil {
+		return nil
+	}
+	return m.ServerOptions(i)
+}
+
 func (m *Mesh) settingsFile(i int) string {
 	return filepath.Join(m.dir, fmt.Sprintf("sidecar_%d.ini", i))
 }
@@ -128,6 +160,8 @@
 	h.process.Env = append(os.Environ(), settingsEnv+"="+m.settingsFile(i))
 	h.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	h.process.Stdout = &h.output
+	// A panic is written to standard error.
+	h.process.Stderr = &h.output
 	if err := h.process.Start(); err != nil {
 		return fmt.Errorf("starting %q: %w", m.sidecarProgram, err)
 	}
@@ -228,11 +262,13 @@
 	return b.text.Write(p)
 }
 
-func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, fmt.Errorf("finding a free port: %w", err)
+// meshPort returns a port below those that connections get, since a sidecar that is started again needs its ports on its host's address.
+func meshPort() (int, error) {
+	for range maxPortTries {
+		port := firstMeshPort + rand.IntN(meshPorts)
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return port, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errNoPort
 }
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -34,8 +34,28 @@
 	open []net.Conn
 	// arrivals are the times at which requests were executed.
 	arrivals []time.Time
+	observe  func(Arrival)
+	// downloadBytes is the length of the body of a response to a path below downloadPrefix, which is empty if there are none.
+	downloadPrefix string
+	downloadBytes  int
 }
 
+// Arrival is one request that reached a MeshServer.
+type Arrival struct {
+	At time.Time
+	// ID is the attempt ID of the request; empty for a health check.
+	ID      string
+	Outcome Outcome
+	// Leaving is true if the response states that the server is leaving.
+	Leaving bool
+}
+
+// Outcome is what a MeshServer did with a request.
+type Outcome string
+
+// ServerOption configures a MeshServer.
+type ServerOption func(*MeshServer)
+
 // Behaviour is how a MeshServer responds to requests.
 type Behaviour string
 
@@ -88,23 +108,68 @@
 	AnonymousRefusal Behaviour = "repeats_anonymous_refusal"
 	// AnonymousMisdirected is AnonymousRefusal with the refusal of a request that was meant for another server.
 	AnonymousMisdirected Behaviour = "repeats_anonymous_421"
+	// FalseRefusal executes the request, and responds that it didn't. No sidecar can notice that.
+	FalseRefusal Behaviour = "refuses_falsely"
+	// FalseBody responds with a body that isn't that of the request. No sidecar can notice that.
+	FalseBody Behaviour = "false_body"
+)
+
+const (
+	// Executed is the outcome of a request that took a slot.
+	Executed Outcome = "executed"
+	// Refused is the outcome of a request that got 503.
+	Refused Outcome = "refused"
+	// Misdirected is the outcome of a request for another server, which got 421.
+	Misdirected Outcome = "misdirected"
+	// HealthCheck is the outcome of a request at the health path.
+	HealthCheck Outcome = "health_check"
 )
 
 // LargeBytes is the length of the body of a response that Large sends.
 const LargeBytes = 300_000
 
+// EndlessUnit is what the body of EndlessBody repeats.
+const EndlessUnit = "no answer"
+
+// headerLeaving states that a server is leaving.
+const headerLeaving = "Server-Leaving"
+
 // NewMeshServer starts a server that listens on a loopback address. The ID is its instance ID in the mesh; each request occupies
 // a slot for the service time.
-func NewMeshServer(address, id string, slots int, serviceTime time.Duration) (*MeshServer, error) {
+func NewMeshServer(address, id string, slots int, serviceTime time.Duration, options ...ServerOption) (*MeshServer, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &MeshServer{listener: l, id: id, slots: slots, serviceTime: serviceTime, executions: map[string]int{}}
+	s := &MeshServer{listener: l, id: id, slots: slots, serviceTime: serviceTime, executions: map[string]int{}, observe: func(Arrival) {}}
+	for _, o := range options {
+		o(s)
+	}
 	go s.serve()
 	return s, nil
 }
 
+// WithObserver makes the server report each request as it arrives, before it responds. The function is called concurrently.
+func WithObserver(observe func(Arrival)) ServerOption {
+	return func(s *MeshServer) { s.observe = observe }
+}
+
+// WithHealth is ServeHealthUntil from the first connection on.
+func WithHealth(path string, coldUntil time.Time) ServerOption {
+	return func(s *MeshServer) { s.health = health{path: path, coldUntil: coldUntil} }
+}
+
+// WithDownloads makes the server respond at paths that begin with a prefix with a body made by DownloadBody.
+func WithDownloads(prefix string, length int) ServerOption {
+	return func(s *MeshServer) { s.downloadPrefix, s.downloadBytes = prefix, length }
+}
+
+// DownloadBody returns the body of a large response, which repeats the attempt ID.
+func DownloadBody(attemptID string, length int) string {
+	unit := attemptID + "\n"
+	return strings.Repeat(unit, length/len(unit)+1)[:length]
+}
+
 // Address returns the IP address and port that the server listens on.
 func (s *MeshServer) Address() string {
 	return s.listener.Addr().String()
@@ -143,7 +208,7 @@
 
 // Leave makes the server state in all its responses that it is leaving.
 func (s *MeshServer) Leave() {
-	s.setNotice("Server-Leaving", "1")
+	s.setNotice(headerLeaving, "1")
 }
 
 func (s *MeshServer) setNotice(name, value string) {
@@ -236,15 +301,21 @@
 	}
 	switch expect := r.Header.Get("X-Expect-Instance"); {
 	case expect != "" && expect != id:
+		s.observe(Arrival{At: time.Now(), ID: attemptID, Outcome: Misdirected})
 		fmt.Fprintf(w, "HTTP/1.1 421 Misdirected Request\r\n%sX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", notice, attemptID, id)
 		return true
 	case full || b == Shedding:
+		s.observe(Arrival{At: time.Now(), ID: attemptID, Outcome: Refused})
 		fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\n%sX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", notice, attemptID)
 		return true
 	}
+	s.observe(Arrival{At: time.Now(), ID: attemptID, Outcome: Executed, Leaving: strings.HasPrefix(notice, headerLeaving)})
 	if !s.execute(w, in, r, attemptID, serviceTime) {
 		return false
 	}
+	if s.downloadPrefix != "" && strings.HasPrefix(r.URL.Path, s.downloadPrefix) {
+		body = []byte(DownloadBody(attemptID, s.downloadBytes))
+	}
 	return s.writeResponse(w, b, notice, attemptID, body)
 }
 
@@ -282,6 +353,10 @@
 		return writeEndlessly(w, start, unit)
 	}
 	switch b {
+	case FalseRefusal:
+		response = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%sX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", notice, attemptID)
+	case FalseBody:
+		response = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno", notice, attemptID)
 	case Large:
 		response = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: %d\r\n\r\n", notice, attemptID, LargeBytes) + strings.Repeat("x", LargeBytes)
 	case Extra:
@@ -328,7 +403,7 @@
 	case EndlessChunk:
 		return head + attemptID + "\r\nTransfer-Encoding: chunked\r\n\r\n", "0;no answer"
 	case EndlessBody:
-		return head + attemptID + "\r\n\r\n", "no answer"
+		return head + attemptID + "\r\n\r\n", EndlessUnit
 	case EndlessOther:
 		return head + "other\r\nContent-Length: 1000000000000\r\n\r\n", "no answer"
 	}
