A client that leaves with pipelined requests in progress is noticed

The HTTP server notices a closed connection by reading one byte; once that byte belongs to a further request, it reads no more until the response. The connection that reads ahead saw the end and did nothing, or didn't read any more as its queue was full. It now asks whether the client has left, as for a single request, and cancels the request in progress with those behind it.

TestPipelinedRequests checked that the request in progress goes on after a reset; it now checks that all are canceled, after a reset and after a regular close.

--- a/outbound/ahead_request.go
+++ b/outbound/ahead_request.go
@@ -56,14 +56,14 @@
 }
 
 // serveInTurn returns the response to a request whose turn has come on its connection, and its memory in hold. If the request was started before,
-// it sets when that was.
-func (h *Handler) serveInTurn(r *http.Request, local LocalState, arrived *time.Time, rec *Record, hold *responseHold) *jaypitch.MeshResponse {
+// it sets when that was. Cancel ends the request's context.
+func (h *Handler) serveInTurn(r *http.Request, cancel context.CancelFunc, local LocalState, arrived *time.Time, rec *Record, hold *responseHold) *jaypitch.MeshResponse {
 	c := aheadConnOf(r.Context())
 	if c == nil {
 		return h.respond(r, local, *arrived, rec, hold)
 	}
 	a := c.take(r)
-	c.begin(r, h.startAhead)
+	c.begin(r, cancel, h.startAhead)
 	if a == nil {
 		return h.respond(r, local, *arrived, rec, hold)
 	}
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"context"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -98,8 +99,11 @@
 	rec := Record{ID: r.Header.Get(h.names.RequestID)}
 	hold := &responseHold{memory: h.responses}
 	defer hold.release()
-	setInterim(r.Context(), r.ProtoAtLeast(1, 1), false)
-	response := h.serveInTurn(r, local, &arrived, &rec, hold)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	r = r.WithContext(ctx)
+	setInterim(ctx, r.ProtoAtLeast(1, 1), false)
+	response := h.serveInTurn(r, cancel, local, &arrived, &rec, hold)
 	hold.settle(response)
 	more := endReadAhead(r)
 	setInterim(r.Context(), false, true)
--- a/outbound/limits.go
+++ b/outbound/limits.go
@@ -90,7 +90,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &limitedConn{Conn: newAheadConn(c), listener: l}, nil
+	ahead := newAheadConn(c)
+	out := &limitedConn{Conn: ahead, listener: l}
+	ahead.awaitLeaving = out.awaitLeaving
+	return out, nil
 }
 
 // recordIdle records that a connection becomes idle after a response. The HTTP server calls it just before it sets the idle deadline.
--- a/outbound/read_ahead.go
+++ b/outbound/read_ahead.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -36,6 +38,10 @@
 	start func(current, next *http.Request) *aheadRequest
 	// queue holds the requests that were started, in the order in which they were sent.
 	queue []*aheadRequest
+	// cancel cancels the request in progress. The HTTP server doesn't notice that a client has left once it has read a byte of a further request.
+	cancel context.CancelFunc
+	// awaitLeaving returns io.EOF once a client that has closed its sending side has left, and another error if the read has to end before.
+	awaitLeaving func() error
 }
 
 const (
@@ -48,7 +54,7 @@
 )
 
 func newAheadConn(c net.Conn) *aheadConn {
-	return &aheadConn{Conn: c, inHead: true}
+	return &aheadConn{Conn: c, inHead: true, awaitLeaving: func() error { return io.EOF }}
 }
 
 // Read reads for the HTTP server. While a request is in progress, the server reads a single byte to notice that the client has gone. Once
@@ -126,27 +132,34 @@
 // readOn reads bytes behind the current request and starts what they ask for, until the HTTP server ends the read. The caller holds the lock.
 func (c *aheadConn) readOn() {
 	buffer := make([]byte, aheadReadBytes)
-	for c.readsAhead() && len(c.queue) < maxAhead && len(c.rest) < maxAheadBytes {
+	for c.readsAhead() && len(c.rest) < maxAheadBytes {
 		c.mu.Unlock()
 		n, err := c.Conn.Read(buffer)
 		c.mu.Lock()
 		c.rest = append(c.rest, buffer[:n]...)
 		c.startAhead()
-		if errors.Is(err, syscall.ECONNRESET) {
+		if err == io.EOF {
+			// A client that has closed only its sending side still gets its responses.
+			c.mu.Unlock()
+			err = c.awaitLeaving()
+			c.mu.Lock()
+		}
+		if err == io.EOF || errors.Is(err, syscall.ECONNRESET) {
 			c.lose()
+			c.cancel()
 		}
 		if err != nil {
-			// The HTTP server has ended the read by a deadline, or gets the error from its next read. A client that has closed only its sending
-			// side still gets its responses.
+			// Other errors are deadlines by which the HTTP server ends the read, or ones that it gets from its next read.
 			return
 		}
 	}
 }
 
-// begin records that a request is in progress. Start is called for requests behind it; it may be nil.
-func (c *aheadConn) begin(r *http.Request, start func(current, next *http.Request) *aheadRequest) {
+// begin records that a request is in progress, which cancel ends. Start is called for requests behind it; it may be nil.
+func (c *aheadConn) begin(r *http.Request, cancel context.CancelFunc, start func(current, next *http.Request) *aheadRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.cancel = cancel
 	if r.ContentLength != 0 || c.inHead {
 		start = nil
 	}
--- a/outbound/read_ahead_test.go
+++ b/outbound/read_ahead_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -185,20 +186,35 @@
 		}
 		is.Equal(startedOf("d"), []string{"d1", "d2", "d3"})
 	})
-	t.Run("those behind a closed connection are canceled", func(t *testing.T) {
-		is := is.New(t)
-		_, before := h.StartedAhead()
-		c := dial()
-		send(t, c, get("/i/", "e1"))
-		eventually(t, "the first is in progress", func() bool { return len(startedOf("e")) == 1 })
-		send(t, c, get("/i/", "e2"))
-		eventually(t, "both are in progress", func() bool { return len(startedOf("e")) == 2 })
-		is.NoErr(c.(*net.TCPConn).SetLinger(0))
-		is.NoErr(c.Close())
-		eventually(t, "the one behind is dropped", func() bool { _, dropped := h.StartedAhead(); return dropped == before+1 })
-		is.Equal(g.list(&g.canceled), []string{"e2"})
-		release <- struct{}{}
-	})
+	for name, end := range map[string]func(c *net.TCPConn) error{
+		"reset":  func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) },
+		"closed": (*net.TCPConn).Close,
+	} {
+		t.Run("those of a connection that the client has "+name+" are canceled", func(t *testing.T) {
+			is := is.New(t)
+			_, before := h.StartedAhead()
+			c := dial()
+			send(t, c, get("/i/", name+"1"))
+			eventually(t, "the first is in progress", func() bool { return len(startedOf(name)) == 1 })
+			var behind []string
+			for i := range maxAhead {
+				behind = append(behind, get("/i/", fmt.Sprint(name, i+2)))
+			}
+			send(t, c, behind...)
+			eventually(t, "all are in progress", func() bool { return len(startedOf(name)) == 1+maxAhead })
+			is.NoErr(end(c.(*net.TCPConn)))
+			eventually(t, "those behind are dropped", func() bool { _, dropped := h.StartedAhead(); return dropped == before+maxAhead })
+			eventually(t, "all are canceled", func() bool {
+				n := 0
+				for _, id := range g.list(&g.canceled) {
+					if strings.HasPrefix(id, name) {
+						n++
+					}
+				}
+				return n == 1+maxAhead
+			})
+		})
+	}
 }
 
 // TestResponsesAreNotMixedUp sends random requests, whose bodies look like requests, in random pieces. It guards against a response to another
