A trial request at a refusing server isn't refused for a faster one

The receiver refused a trial whose complete-by time another server met, though the trial had been counted: a server slower than the others would have stayed in the refusing state until they were full. The trial has no complete-by time now.

--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -141,6 +141,10 @@
 		r.mu.Unlock()
 		return refusal(e)
 	}
+	if r.refusals.Refusing(f.Rule, r.now()) {
+		// A trial request has to reach the server, also if another one is expected to be faster.
+		w.CompleteBy = time.Time{}
+	}
 	if failing := r.failing[f.Rule].At(r.now()); failing > failingLimit && !f.CompleteBy.IsZero() && r.random() > failingTrialShare {
 		r.mu.Unlock()
 		return refusal(jaypitch.Errorf(jaypitch.CodeFailing, "the backend server failed %.2f of the latest requests of rule %q", failing, f.Rule))
--- a/inbound/refusing_test.go
+++ b/inbound/refusing_test.go
@@ -34,6 +34,9 @@
 	is.Equal(refusedBy(), jaypitch.CodeFailing)
 	g.server.SetBehaviour(standin.Normal)
 	ahead += time.Minute
-	is.Equal(refusedBy(), jaypitch.CodeOK) // the trial request
+	trial := newRequest("one", "")
+	trial.Deadline, trial.TargetDeadline = g.receiver.now().Add(time.Second), g.receiver.now().Add(time.Second)
+	trial.CompleteBy = g.receiver.now().Add(time.Nanosecond) // another server is expected to be faster
+	is.Equal(g.receiver.Serve(context.Background(), trial).Code, jaypitch.CodeOK)
 	is.Equal(refusedBy(), jaypitch.CodeOK)
 }
--- a/route/overload_test.go
+++ b/route/overload_test.go
@@ -273,6 +273,9 @@
 		r.respond(a, &jaypitch.MeshResponse{Execution: jaypitch.NotExecuted, Code: e.Code})
 		return
 	}
+	if h.refusals.Refusing(a.slot.Rule, r.now) {
+		a.slot.CompleteBy = time.Time{}
+	}
 	started, e := h.slots.Admit(a.slot, r.now)
 	switch {
 	case e != nil:
