Evidence asks the hosts of removed servers too

The hosts of servers whose tombstones are kept are asked now. They count only if they respond, since most are gone together with their servers.

TestEvidenceAsksHostOfRemovedServer had 2 hosts asked before and has 3 now, and 2 once that host has stopped. A sidecar that doesn't respond and serves its own clients is still not known of.

--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -215,6 +215,20 @@
 	return p.bornMS == nil || v.BornMs == nil || *p.bornMS == v.GetBornMs()
 }
 
+// RemovedAddresses returns the addresses of the removed servers whose tombstones are kept, without those that a server in use has.
+func (s *Replica) RemovedAddresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	inUse := s.Table().byAddress
+	var out []string
+	for _, e := range s.servers {
+		if address := e.reported.GetAddress(); e.server.GetGone() && address != "" && inUse[address] == nil {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // Expire deletes tombstones past their lifetime, takes removed servers out of use whose usableUntil has passed, applies copied entries
 // whose copiedUntil has, and ends evacuations whose heldUntil has. It reports whether the table changed.
 func (s *Replica) Expire(now time.Time) bool {
--- a/sidecar/evidence.go
+++ b/sidecar/evidence.go
@@ -44,22 +44,33 @@
 	return f
 }
 
-// Evidence queries every listed host and returns a report with a verdict. A host that does not respond prevents a proof.
+// Evidence queries every listed host and returns a report with a verdict. A host that does not respond prevents a proof. Hosts whose servers were
+// removed count only if they respond, since most of them are gone together with their servers.
 func (c *Sidecar) Evidence(ctx context.Context, s *schema.Subject) *evidence.Report {
 	started := c.now()
 	q := newFleetQuery(c)
-	aggregator := evidence.NewAggregator(q.targets)
+	q.addRemoved(c)
+	var asked []*schema.Target
+	var results []func(*evidence.Aggregator)
 	q.run(func(t *schema.Target) func() {
 		finding, err := c.peerPoller.client.Find(ctx, t.GetHost(), t.GetAddress(), s)
 		return func() {
-			if err != nil {
-				aggregator.AddUnresponsive(t.GetHost(), err.Error())
+			switch {
+			case err == nil:
+				results = append(results, func(a *evidence.Aggregator) { a.Add(finding) })
+			case q.removed[t]:
 				return
+			default:
+				results = append(results, func(a *evidence.Aggregator) { a.AddUnresponsive(t.GetHost(), err.Error()) })
 			}
-			aggregator.Add(finding)
+			asked = append(asked, t)
 		}
 	})
-	r := evidence.NewReport(s, q.targets, aggregator.Response())
+	aggregator := evidence.NewAggregator(asked)
+	for _, add := range results {
+		add(aggregator)
+	}
+	r := evidence.NewReport(s, asked, aggregator.Response())
 	r.HostLists = []evidence.HostListStatus{{DataCentre: "store", Revision: c.replica.Revision(), SourceAgeMS: c.confirmation.age().Milliseconds()}}
 	r.TookMS = float64(c.now().Sub(started).Microseconds()) / 1000
 	return r
--- a/sidecar/fleet_query.go
+++ b/sidecar/fleet_query.go
@@ -15,7 +15,10 @@
 
 // fleetQuery queries the sidecars beside all listed servers.
 type fleetQuery struct {
-	targets   []*schema.Target
+	targets []*schema.Target
+	// removed holds further hosts, whose servers were removed.
+	removed   map[*schema.Target]bool
+	seen      map[netip.Addr]bool
 	semaphore chan struct{}
 	wg        sync.WaitGroup
 
@@ -39,19 +42,34 @@
 
 // newFleetQuery returns a query of every listed host; each host is queried once.
 func newFleetQuery(c *Sidecar) *fleetQuery {
-	q := &fleetQuery{semaphore: make(chan struct{}, maxConcurrentQueries)}
-	seen := map[netip.Addr]bool{}
+	q := &fleetQuery{semaphore: make(chan struct{}, maxConcurrentQueries), removed: map[*schema.Target]bool{}, seen: map[netip.Addr]bool{}}
 	for _, v := range c.replica.Table().Servers {
-		a, err := netip.ParseAddrPort(v.GetAddress())
-		if err != nil || seen[a.Addr()] {
-			continue
-		}
-		seen[a.Addr()] = true
-		q.targets = append(q.targets, &schema.Target{Host: a.Addr().String(), Address: c.peerAddress(v.GetAddress())})
+		q.add(c, v.GetAddress())
 	}
 	return q
 }
 
+// add adds the host of a server, unless it is among the targets already. It returns the new target, or nil.
+func (q *fleetQuery) add(c *Sidecar, server string) *schema.Target {
+	a, err := netip.ParseAddrPort(server)
+	if err != nil || q.seen[a.Addr()] {
+		return nil
+	}
+	q.seen[a.Addr()] = true
+	t := &schema.Target{Host: a.Addr().String(), Address: c.peerAddress(server)}
+	q.targets = append(q.targets, t)
+	return t
+}
+
+// addRemoved adds the hosts whose servers were removed. The sidecars there may still serve clients, and may hear of a change later than others.
+func (q *fleetQuery) addRemoved(c *Sidecar) {
+	for _, server := range c.replica.RemovedAddresses() {
+		if t := q.add(c, server); t != nil {
+			q.removed[t] = true
+		}
+	}
+}
+
 // run queries all targets and waits for them. query returns a function that processes the result; these functions run one at a time.
 func (q *fleetQuery) run(query func(*schema.Target) func()) {
 	for _, t := range q.targets {
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -275,6 +275,29 @@
 	is.Equal(status, http.StatusOK)
 }
 
+// TestEvidenceAsksHostOfRemovedServer guards against evidence that a server is gone which the sidecar on its own host wasn't asked for: its clients
+// may still reach the server if it hears of the removal later than others. A host that is gone with its server doesn't prevent the proof.
+func TestEvidenceAsksHostOfRemovedServer(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 19, 3)
+	getReport := func() *evidence.Report {
+		status, text := m.get(0, portMetrics, "/evidence?backend=i-2", "")
+		is.Equal(status, http.StatusOK)
+		r := &evidence.Report{}
+		is.NoErr(json.Unmarshal([]byte(text), r))
+		return r
+	}
+	is.Equal(getReport().Verdict, evidence.VerdictPresent)
+	m.store.Delete("servers/i-2")
+	m.eventually("the server is proven gone", func() bool { return getReport().Verdict == evidence.VerdictGone })
+	is.Equal(getReport().HostsQueried, 3)
+	m.hosts[2].stop()
+	is.NoErr(<-m.hosts[2].done)
+	r := getReport()
+	is.Equal(r.HostsQueried, 2)
+	is.Equal(r.Verdict, evidence.VerdictGone)
+}
+
 // TestEvidence checks that a removed rule is proven gone, and that an unresponsive host prevents the proof.
 func TestEvidence(t *testing.T) {
 	is := is.New(t)
