--- a/cmd/jaypitch/docs_test.go
+++ b/cmd/jaypitch/docs_test.go
@@ -162,7 +162,7 @@
 	noSource := func(string, func() time.Time, func(*jaypitch.Error)) jaypitch.MeshSource { return nil }
 	c, err := sidecar.New(s, nil, sidecar.Platform{NewSource: noSource}, zap.NewNop(), func() int64 { return 0 })
 	is.NoErr(err)
-	b.WriteString("\n## Metrics of a sidecar\n\nServed at every path of the sidecar's metrics listener except `/evidence`, `/burn` and `/where`.\n\n| name | labels | meaning |\n|---|---|---|\n")
+	b.WriteString("\n## Metrics of a sidecar\n\nServed at every path of the sidecar's metrics listener except `/evidence`, `/burn`, `/where` and `/status`.\n\n| name | labels | meaning |\n|---|---|---|\n")
 	descriptions := make(chan *prometheus.Desc, 64)
 	c.Registry().Describe(descriptions)
 	close(descriptions)
--- a/sidecar/listen.go
+++ b/sidecar/listen.go
@@ -57,6 +57,7 @@
 	operators.Handle("GET /evidence", queries)
 	operators.Handle("GET /burn", queries)
 	operators.HandleFunc("GET /where", c.handleWhere)
+	operators.HandleFunc("GET /status", c.handleStatus)
 	servers := []*http.Server{
 		outbound.NewServer(c.handler),
 		{Handler: c.peerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout},
