--- a/review/second/standin/main.go
+++ b/review/second/standin/main.go
@@ -17,7 +17,7 @@
 // run plays a case. It reports whether the rule was broken.
 type run func(f *fleet, trouble bool) (broken bool, err error)
 
-var cases = map[string]run{"pipelined": runPipelined, "unread": runUnread, "storm": runStorm, "downloads": runDownloads}
+var cases = map[string]run{"pipelined": runPipelined, "unread": runUnread, "storm": runStorm, "downloads": runDownloads, "unnamed": runUnnamed}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
