--- a/review/second/standin/unnamed.go
+++ b/review/second/standin/unnamed.go
@@ -9,7 +9,7 @@
 
 const (
 	// unnamedServers is the number of entries whose services the configuration doesn't name.
-	unnamedServers = 2000
+	unnamedServers = 5000
 	unnamedDrainS  = 2 * time.Second
 	unnamedFor     = 6 * time.Second
 	leavingServers = 2
