Read responses of the node family with http1.Pool

Cause: the node family read responses of backend servers and of other nodes with the transport of net/http, the sidecar family with http1.Pool. A check of what counts as a response could reach one of them only: the transport parses heads itself, skips interim responses itself, and sends and reads at the same time without telling one of the other's errors.

Change: http1.Client sends over a Pool. What the transport gave it besides, a bound on the connections to an address and 90 s of idle time, is now Client's semaphore and the Pool's WithMaxIdleTime. Client takes the address, target and body that its users have anyway.

No response is judged differently by this commit.

--- a/backend/client.go
+++ b/backend/client.go
@@ -3,7 +3,6 @@
 package backend
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"strconv"
@@ -19,7 +18,7 @@
 // Client sends requests to the backend server over HTTP/1.1, with a bounded pool of connections.
 type Client struct {
 	client     *http1.Client
-	base       string
+	address    string
 	healthPath string
 	now        func() time.Time
 }
@@ -34,7 +33,7 @@
 
 // NewClient returns a client for the backend server at an address, with at most the given number of connections. Probe requests healthPath.
 func NewClient(address, healthPath string, connections int, now func() time.Time) *Client {
-	return &Client{client: http1.NewClient(http1.WithMaxConnections(connections)), base: "http://" + address, healthPath: healthPath, now: now}
+	return &Client{client: http1.NewClient(now, http1.WithMaxConnections(connections)), address: address, healthPath: healthPath, now: now}
 }
 
 // Do sends a request. It returns once the head of the response is read; the caller reads and closes the body.
@@ -43,14 +42,14 @@
 	h.Set(jaypitch.HeaderCustomer, r.Customer)
 	h.Set(jaypitch.HeaderTimeLeft, strconv.FormatInt(r.Deadline.Sub(c.now()).Microseconds(), 10))
 	h.Set(jaypitch.HeaderRetries, strconv.Itoa(r.Retries))
-	return c.client.Do(ctx, r.Method, c.base+r.Path, h, bytes.NewReader(r.Body), int64(len(r.Body)))
+	return c.client.Do(ctx, r.Method, c.address, r.Path, h, r.Body)
 }
 
 // Probe requests the health endpoint. It reports whether the backend server is draining. If it isn't, a status other than 200 is an error.
 func (c *Client) Probe(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	response, err := c.client.Do(ctx, http.MethodGet, c.base+c.healthPath, http.Header{}, bytes.NewReader(nil), 0)
+	response, err := c.client.Do(ctx, http.MethodGet, c.address, c.healthPath, http.Header{}, nil)
 	if err != nil {
 		return false, eris.Wrap(err, "probing the backend server")
 	}
--- a/http1/client.go
+++ b/http1/client.go
@@ -1,20 +1,23 @@
-// Package http1 holds two HTTP/1.1 clients, Client and Pool. When a request fails, they report whether any byte of it
-// was sent. They never retry a request themselves.
 package http1
 
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
-// Client sends requests over a pool of connections of net/http. It is safe for concurrent use.
+// Client sends requests over a Pool with a bounded number of connections to each address. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	pool           *Pool
+	maxConnections int
+
+	mu sync.Mutex
+	// inUse holds, by address, a channel with an element for each request in progress.
+	inUse map[string]chan struct{}
+	// sweepAt is when expired connections are closed next.
+	sweepAt time.Time
 }
 
 // Error is the error of a failed request.
@@ -25,53 +28,33 @@
 }
 
 // Option configures a Client.
-type Option func(*http.Transport)
-
-// countedConn counts the writes to a connection.
-type countedConn struct {
-	net.Conn
-	writes atomic.Int64
-}
+type Option func(*Client)
 
-// nonReplayableBody hides the type of a reader, so that the transport can't rewind the body and send it again.
-type nonReplayableBody struct {
-	io.Reader
+// releasingBody is the body of a response whose request is in progress until the body has been read or closed.
+type releasingBody struct {
+	io.ReadCloser
+	release func()
 }
 
 const (
-	dialTimeout            = 500 * time.Millisecond
-	idleTimeout            = 90 * time.Second
-	maxResponseHeaderBytes = 64 << 10
+	// clientIdleTime is how long a connection of a Client may be idle. It is below the time after which nodes close idle connections.
+	clientIdleTime        = 90 * time.Second
+	defaultMaxConnections = 32
+	sweepInterval         = time.Second
 )
 
 // WithMaxConnections sets the maximum number of connections to one address, in use and idle.
 func WithMaxConnections(n int) Option {
-	return func(t *http.Transport) {
-		t.MaxConnsPerHost = n
-		t.MaxIdleConnsPerHost = n
-	}
+	return func(c *Client) { c.maxConnections = n }
 }
 
-// NewClient returns a client.
-func NewClient(options ...Option) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	t := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: c}, nil
-		},
-		MaxIdleConnsPerHost:    32,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+// NewClient returns a client that reads the time from now.
+func NewClient(now func() time.Time, options ...Option) *Client {
+	c := &Client{pool: NewPool(now, WithMaxIdleTime(clientIdleTime)), maxConnections: defaultMaxConnections, inUse: map[string]chan struct{}{}}
 	for _, o := range options {
-		o(t)
+		o(c)
 	}
-	return &Client{transport: t}
+	return c
 }
 
 // Error returns the text of the cause.
@@ -84,39 +67,58 @@
 	return e.Err
 }
 
-// Do sends a request with a body of length bytes. It returns an *Error if the request fails.
-func (c *Client) Do(ctx context.Context, method, url string, header http.Header, body io.Reader, length int64) (*http.Response, error) {
-	var conn *countedConn
-	var before int64
-	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		conn, _ = i.Conn.(*countedConn)
-		before = conn.writes.Load()
-	}}
-	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, &nonReplayableBody{body})
-	if err != nil {
-		return nil, &Error{Err: err}
+// Do sends a request to an address, host:port, once a connection is free. Target is the path with the query. It returns an *Error if the request
+// fails. The caller reads the response body to its end or closes it.
+func (c *Client) Do(ctx context.Context, method, address, target string, header http.Header, body []byte) (*http.Response, error) {
+	inUse := c.semaphore(address)
+	select {
+	case inUse <- struct{}{}:
+	case <-ctx.Done():
+		return nil, &Error{Err: ctx.Err()}
 	}
-	r.Header = header
-	r.ContentLength = length
-	a, err := c.transport.RoundTrip(r)
+	release := sync.OnceFunc(func() { <-inUse })
+	a, err := c.pool.Do(ctx, address, &Request{Method: method, Target: target, Host: address, Header: header, Body: body})
 	if err != nil {
-		return nil, &Error{Sent: conn != nil && conn.writes.Load() > before, Err: err}
+		release()
+		return nil, err
 	}
+	a.Body = &releasingBody{ReadCloser: a.Body, release: release}
 	return a, nil
 }
 
+// semaphore returns the channel of an address. It closes expired connections from time to time.
+func (c *Client) semaphore(address string) chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := c.pool.now(); !now.Before(c.sweepAt) {
+		c.sweepAt = now.Add(sweepInterval)
+		c.pool.CloseExpired()
+	}
+	s := c.inUse[address]
+	if s == nil {
+		s = make(chan struct{}, c.maxConnections)
+		c.inUse[address] = s
+	}
+	return s
+}
+
 // CloseIdle closes the idle connections.
 func (c *Client) CloseIdle() {
-	c.transport.CloseIdleConnections()
+	c.pool.closeAllIdle()
 }
 
-// Write counts before it writes, so that an unchanged count proves that nothing was written.
-func (c *countedConn) Write(b []byte) (int, error) {
-	c.writes.Add(1)
-	return c.Conn.Write(b)
+// Read reads from the body. At its end it releases the request.
+func (b *releasingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.release()
+	}
+	return n, err
 }
 
-// Close does nothing: the reader belongs to the caller.
-func (b *nonReplayableBody) Close() error {
-	return nil
+// Close closes the body and releases the request.
+func (b *releasingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.release()
+	return err
 }
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -1,3 +1,5 @@
+// Package http1 is an HTTP/1.1 client over persistent connections. When a request fails, it reports whether any byte of it was sent. It never
+// retries a request itself.
 package http1
 
 import (
@@ -26,6 +28,8 @@
 	idle map[string][]*Conn
 	// idleCount is their number, maxIdle the most of them; zero means no limit.
 	idleCount, maxIdle int
+	// maxIdleTime is how long a connection may be idle if the server sends no shorter Keep-Alive timeout.
+	maxIdleTime time.Duration
 }
 
 // PoolOption configures a Pool.
@@ -37,8 +41,8 @@
 	// unackedTimeout is how long sent data may stay unacknowledged before the connection is closed. It leaves time for
 	// three retransmissions on a lossy link.
 	unackedTimeout = 1500 * time.Millisecond
-	// maxIdleTime is how long a connection may be idle if the server sends no shorter Keep-Alive timeout. It is below the usual timeouts of servers.
-	maxIdleTime = 8 * time.Second
+	// defaultMaxIdleTime is below the usual timeouts of servers.
+	defaultMaxIdleTime = 8 * time.Second
 	// idleMargin is how long before the server's Keep-Alive timeout a connection is no longer reused.
 	idleMargin = time.Second
 )
@@ -58,9 +62,14 @@
 	return func(p *Pool) { p.maxIdle = n }
 }
 
+// WithMaxIdleTime sets how long a connection may be idle if the server sends no shorter Keep-Alive timeout. The default is 8 s.
+func WithMaxIdleTime(d time.Duration) PoolOption {
+	return func(p *Pool) { p.maxIdleTime = d }
+}
+
 // NewPool returns a pool that reads the time from now.
 func NewPool(now func() time.Time, options ...PoolOption) *Pool {
-	p := &Pool{now: now, idle: map[string][]*Conn{}, onDial: func(string) {}}
+	p := &Pool{now: now, idle: map[string][]*Conn{}, onDial: func(string) {}, maxIdleTime: defaultMaxIdleTime}
 	p.dialer = net.Dialer{Timeout: poolDialTimeout, Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
 	for _, o := range options {
@@ -86,6 +95,20 @@
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeIdle(address)
+}
+
+// closeAllIdle closes the idle connections to all addresses.
+func (p *Pool) closeAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address := range p.idle {
+		p.closeIdle(address)
+	}
+}
+
+// closeIdle closes the idle connections to an address. The caller holds the lock.
+func (p *Pool) closeIdle(address string) {
 	for _, c := range p.idle[address] {
 		c.close()
 	}
@@ -169,7 +192,7 @@
 	if a.Close {
 		return time.Time{}
 	}
-	idle := maxIdleTime
+	idle := p.maxIdleTime
 	for part := range strings.SplitSeq(a.Header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if strings.EqualFold(name, "timeout") {
--- a/peer/requests.go
+++ b/peer/requests.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -53,14 +52,14 @@
 
 // NewRequestClient returns a client; now gives the time from which the time left until a deadline is computed.
 func NewRequestClient(now func() time.Time) *RequestClient {
-	return &RequestClient{client: http1.NewClient(http1.WithMaxConnections(maxConnections)), now: now}
+	return &RequestClient{client: http1.NewClient(now, http1.WithMaxConnections(maxConnections)), now: now}
 }
 
 // Do sends an attempt to the node at an address, host:port. Without a response the error is an *http1.Error, which says whether
 // the request may have been sent. The caller closes the Stream of the response if there is one.
 func (c *RequestClient) Do(ctx context.Context, address string, a *jaypitch.Attempt) (*jaypitch.Response, error) {
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
-	r, err := c.client.Do(ctx, a.Method, "http://"+address+RequestPath+a.Path, c.requestHeader(a), bytes.NewReader(a.Body), int64(len(a.Body)))
+	r, err := c.client.Do(ctx, a.Method, address, RequestPath+a.Path, c.requestHeader(a), a.Body)
 	if err != nil {
 		cancel()
 		return nil, err
