A reset during an upload ends a response as broken off

Callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. Clients got that part as a complete response.

Cause: the kernel reports the error of a connection once. While a body is being sent, the write and the read of a connection wait at the same time; if the write came first, it took ECONNRESET, and the read got the end of the stream, by which a response without a length is complete.

Change: http1's connections read through a socket that keeps the error of a failed write. At the end of the stream it looks at the state of the connection: CLOSE_WAIT means that the other side ended the stream. Otherwise the connection is dead, a write in progress ends at once, and its error is that of the read. EPIPE is a reset after the end of the stream, whose response is whole.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -6,11 +6,9 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -32,8 +30,7 @@
 
 // Conn is a persistent connection. It carries one request at a time and isn't safe for concurrent use.
 type Conn struct {
-	net    *net.TCPConn
-	raw    syscall.RawConn
+	net    *socket
 	reader *bufio.Reader
 	// limiter bounds the bytes that reader takes for the head of a response; it doesn't bound the body.
 	limiter *io.LimitedReader
@@ -225,26 +222,16 @@
 
 // reusable reports whether an idle connection is still open and has no unsolicited data to read.
 func (c *Conn) reusable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	open := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = e == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
+	return c.reader.Buffered() == 0 && c.net.unread()
 }
 
 // abort makes pending and later reads and writes fail.
 func (c *Conn) abort() {
-	_ = c.net.SetDeadline(time.Unix(1, 0))
+	_ = c.net.tcp.SetDeadline(time.Unix(1, 0))
 }
 
 func (c *Conn) close() {
-	_ = c.net.Close()
+	_ = c.net.tcp.Close()
 }
 
 // Read reads from the body. At the end of the body it releases the connection.
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -178,13 +178,13 @@
 		return nil, err
 	}
 	t := n.(*net.TCPConn)
-	raw, err := t.SyscallConn()
+	s, err := newSocket(t)
 	if err != nil {
 		_ = t.Close()
 		return nil, err
 	}
-	l := &io.LimitedReader{R: t}
-	return &Conn{net: t, raw: raw, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes), address: address}, nil
+	l := &io.LimitedReader{R: s}
+	return &Conn{net: s, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes), address: address}, nil
 }
 
 // usableUntil returns the time until which the connection of a response may be reused; zero if it may not.
--- /dev/null
+++ b/standin/raw_server.go
@@ -0,0 +1,77 @@
+package standin
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+)
+
+// RawServer is a backend server whose responses a function writes to the connection, so that they can be broken in any way. It serves one
+// request on each connection.
+type RawServer struct {
+	listener *net.TCPListener
+	respond  func(c *net.TCPConn, r *http.Request)
+}
+
+// rawConn is a connection to a RawServer.
+type rawConn struct {
+	server *RawServer
+	conn   *net.TCPConn
+}
+
+// partBytes is the length of the part of a body that ResetUpload sends.
+const partBytes = 1000
+
+// NewRawServer starts a server on a loopback address. Respond is called once the head of a request has been read. When it returns, the server
+// ends its sending side and reads until the client closes the connection.
+func NewRawServer(respond func(c *net.TCPConn, r *http.Request)) (*RawServer, error) {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	s := &RawServer{listener: l, respond: respond}
+	go s.run()
+	return s, nil
+}
+
+// Address returns the IP address and port that the server listens on.
+func (s *RawServer) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Close stops accepting connections. Accepted ones stay open.
+func (s *RawServer) Close() {
+	_ = s.listener.Close()
+}
+
+func (s *RawServer) run() {
+	for {
+		c, err := s.listener.AcceptTCP()
+		if err != nil {
+			return
+		}
+		go (&rawConn{server: s, conn: c}).run()
+	}
+}
+
+func (c *rawConn) run() {
+	defer c.conn.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c.conn))
+	if err != nil {
+		return
+	}
+	c.server.respond(c.conn, r)
+	// A close with unread bytes would reset the connection.
+	_ = c.conn.CloseWrite()
+	_, _ = io.Copy(io.Discard, c.conn)
+}
+
+// ResetUpload responds to a request with a head and a part of a body without a length, and resets the connection while the request's body is
+// unread.
+func ResetUpload(c *net.TCPConn, r *http.Request) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+"\r\nX-Server-Stamp: s\r\n\r\n"+strings.Repeat("x", partBytes))
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
