Refuse responses whose status is no HTTP status

Callers saw: a server in trouble sent a response with status 000. Clients got what followed it as the response, or, in the node family, a closed connection. 099, 600 and +20 went the same way.

Cause: http.ReadResponse takes any three characters that strconv.Atoi does. http1 skipped statuses below 100 as interim responses, so that the body of such a response was read as the next head; one that looks like a response to the request was passed on as the server's. Statuses from 600 on were passed on as they were.

Change: http1 waits for a whole head in its buffer and checks the status line before the library reads it: HTTP/1, a status from 100 to 599, a reason without control bytes. The buffer grows to 64 KiB at most and shrinks before the connection is reused, which replaces the limit of bytes that the library could take for a head.

Evidence: before, the four cases of TestBrokenResponses failed in inbound and in backend, on each run.

--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -35,6 +35,12 @@
 
 // TestBrokenResponses guards against responses of the backend server that aren't HTTP, or were reset, and pass for complete ones.
 func TestBrokenResponses(t *testing.T) {
+	for name, text := range standin.BrokenResponses("one") {
+		t.Run(name, func(t *testing.T) {
+			err := receive(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, text) }, nil)
+			is.New(t).True(err != nil)
+		})
+	}
 	t.Run("reset during the upload", func(t *testing.T) {
 		for range 20 {
 			is.New(t).True(receive(t, standin.ResetUpload, make([]byte, uploadBytes)) != nil)
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -30,10 +30,10 @@
 
 // Conn is a persistent connection. It carries one request at a time and isn't safe for concurrent use.
 type Conn struct {
-	net    *socket
-	reader *bufio.Reader
-	// limiter bounds the bytes that reader takes for the head of a response; it doesn't bound the body.
-	limiter *io.LimitedReader
+	net *socket
+	// source is what reader reads from.
+	source  io.Reader
+	reader  *bufio.Reader
 	address string
 	// usableUntil is the time until which the connection may be reused. After it the server may close the connection.
 	usableUntil time.Time
@@ -75,8 +75,6 @@
 }
 
 const (
-	// maxHeadBytes limits the status line and header of a response.
-	maxHeadBytes = 64 << 10
 	// maxInlineBodyBytes is the longest body that is sent together with the head, before the response is read. It fits the
 	// TCP window of any link, so that the write does not wait for the server.
 	maxInlineBodyBytes = 8 << 10
@@ -183,12 +181,13 @@
 func (x *exchange) receive() (*http.Response, error) {
 	c, r := x.conn, x.request
 	for range maxSkippedResponses {
-		c.limiter.N = maxHeadBytes
+		if err := c.checkNextHead(); err != nil {
+			return nil, err
+		}
 		a, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
 		}
-		c.limiter.N = 1 << 62
 		switch {
 		case a.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errProtocolSwitch
@@ -262,6 +261,9 @@
 	b.ended = true
 	if b.stop() && complete && b.writer.finished() && !b.usableUntil.IsZero() && b.conn.reader.Buffered() == 0 {
 		b.conn.usableUntil = b.usableUntil
+		if b.conn.reader.Size() > readBufferBytes {
+			b.conn.resizeBuffer(readBufferBytes)
+		}
 		b.pool.put(b.conn)
 		return
 	}
--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -17,8 +17,8 @@
 
 // newExchange returns an exchange on a connection from which text is read.
 func newExchange(text string) *exchange {
-	l := &io.LimitedReader{R: strings.NewReader(text)}
-	return &exchange{conn: &Conn{limiter: l, reader: bufio.NewReader(l)}, request: &Request{Method: http.MethodGet, AcceptsResponse: isResponseToOne}}
+	r := strings.NewReader(text)
+	return &exchange{conn: &Conn{source: r, reader: bufio.NewReader(r)}, request: &Request{Method: http.MethodGet, AcceptsResponse: isResponseToOne}}
 }
 
 // isResponseToOne reports whether a response belongs to the request with ID one.
@@ -32,15 +32,17 @@
 		body string
 	}{
 		"a response": {response, "ok"},
-		"after a late response to another request":             {late + response, "ok"},
-		"after an interim response":                            {"HTTP/1.1 103 Early Hints\r\n\r\n" + response, "ok"},
-		"without a length, up to the end of the connection":    {"HTTP/1.1 200 OK\r\nId: one\r\n\r\nall", "all"},
-		"only a response to another request":                   {late, ""},
-		"a head that is too long":                              {"HTTP/1.1 200 OK\r\nId: one\r\nX: " + strings.Repeat("x", maxHeadBytes) + "\r\n\r\n", ""},
-		"not HTTP":                                             {"\x00\x01\x02\r\n\r\n", ""},
+		"after a late response to another request":           {late + response, "ok"},
+		"after an interim response":                          {"HTTP/1.1 103 Early Hints\r\n\r\n" + response, "ok"},
+		"without a length, up to the end of the connection":  {"HTTP/1.1 200 OK\r\nId: one\r\n\r\nall", "all"},
+		"only a response to another request":                 {late, ""},
+		"a head that is too long":                            {"HTTP/1.1 200 OK\r\nId: one\r\nX: " + strings.Repeat("x", maxHeadBytes) + "\r\n\r\n", ""},
+		"a long head":                                        {strings.Replace(response, "Id", "X: "+strings.Repeat("x", 3*readBufferBytes)+"\r\nId", 1), "ok"},
+		"after a status below 100, whose body is a response": {"HTTP/1.1 000 Zero\r\nContent-Length: 48\r\n\r\n" + response, ""},
+		"not HTTP": {"\x00\x01\x02\r\n\r\n", ""},
 		"after a response to another request without a length": {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n" + response, ""},
-		"a protocol switch":                                    {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + response, ""},
-		"after too many responses to other requests":           {strings.Repeat(late, maxSkippedResponses) + response, ""},
+		"a protocol switch":                          {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + response, ""},
+		"after too many responses to other requests": {strings.Repeat(late, maxSkippedResponses) + response, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -67,6 +69,9 @@
 		if a.Header.Get("Id") != "one" {
 			t.Fatal("receive returned a response to another request")
 		}
+		if a.StatusCode < http.StatusOK || a.StatusCode > 599 {
+			t.Fatalf("receive returned status %d", a.StatusCode)
+		}
 		body, err := io.ReadAll(a.Body)
 		if err == nil && a.ContentLength >= 0 && int64(len(body)) != a.ContentLength {
 			t.Fatal("no error for a truncated response")
--- /dev/null
+++ b/http1/head.go
@@ -0,0 +1,96 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"regexp"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// maxHeadBytes limits the status line and header of a response.
+const maxHeadBytes = 64 << 10
+
+var (
+	errHeadTooLong = errors.New("the head of the response is too long")
+	errStatusLine  = errors.New("the response has a malformed status line")
+
+	statusLineStart = regexp.MustCompile(`^HTTP/1\.[0-9] [1-5][0-9]{2}( |$)`)
+)
+
+// checkNextHead waits for the whole next head and returns an error unless it is one of HTTP/1. It consumes nothing.
+//
+// http.ReadResponse accepts more than the protocol allows, and a head that is skipped moves the place where the next one is read.
+func (c *Conn) checkNextHead() error {
+	head, err := c.peekHead()
+	if err != nil {
+		return err
+	}
+	return checkHead(head)
+}
+
+// peekHead returns the bytes of the next head, without consuming them. At most maxHeadBytes are held.
+func (c *Conn) peekHead() ([]byte, error) {
+	for searched := 0; ; {
+		if _, err := c.reader.Peek(searched + 1); err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		b, _ := c.reader.Peek(c.reader.Buffered())
+		// The last line may have been searched in part, with a line end before it.
+		if n := headLength(b, max(0, searched-2)); n > 0 {
+			return b[:n], nil
+		}
+		searched = len(b)
+		if searched >= maxHeadBytes {
+			return nil, errHeadTooLong
+		}
+		if searched == c.reader.Size() {
+			c.resizeBuffer(min(2*searched, maxHeadBytes))
+		}
+	}
+}
+
+// resizeBuffer replaces the read buffer by one of another size. What the old one holds is read first.
+func (c *Conn) resizeBuffer(size int) {
+	b, _ := c.reader.Peek(c.reader.Buffered())
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(b), c.source), size)
+}
+
+// headLength returns the length of the head that b begins with, including the empty line at its end; zero if b has only a part of it. The
+// empty line doesn't begin before from.
+func headLength(b []byte, from int) int {
+	for {
+		i := bytes.IndexByte(b[from:], '\n')
+		if i < 0 {
+			return 0
+		}
+		from += i + 1
+		switch rest := b[from:]; {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return from + 1
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return from + 2
+		}
+	}
+}
+
+// checkHead returns an error if a complete head has a status line that RFC 9112 doesn't allow.
+func checkHead(head []byte) error {
+	line, _, _ := bytes.Cut(head, []byte("\n"))
+	if !validStatusLine(bytes.TrimSuffix(line, []byte("\r"))) {
+		return errStatusLine
+	}
+	return nil
+}
+
+// validStatusLine reports whether a line without its end is the status line of a response in HTTP/1, with a status code from 100 to 599. The
+// reason, and the blank before it, may be missing.
+func validStatusLine(line []byte) bool {
+	start := statusLineStart.Find(line)
+	return start != nil && httpguts.ValidHeaderFieldValue(string(line[len(start):]))
+}
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -183,8 +182,7 @@
 		_ = t.Close()
 		return nil, err
 	}
-	l := &io.LimitedReader{R: s}
-	return &Conn{net: s, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes), address: address}, nil
+	return &Conn{net: s, source: s, reader: bufio.NewReaderSize(s, readBufferBytes), address: address}, nil
 }
 
 // usableUntil returns the time until which the connection of a response may be reused; zero if it may not.
--- a/inbound/broken_test.go
+++ b/inbound/broken_test.go
@@ -42,6 +42,11 @@
 
 // TestBrokenResponses guards against responses of the server that aren't HTTP, or were reset, and reach clients as its answer.
 func TestBrokenResponses(t *testing.T) {
+	for name, text := range standin.BrokenResponses("one") {
+		t.Run(name, func(t *testing.T) {
+			assertTurnedAway(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, text) }, newRequest("one", ""))
+		})
+	}
 	t.Run("reset during the upload", func(t *testing.T) {
 		for range 20 {
 			assertTurnedAway(t, standin.ResetUpload, newRequest("one", string(make([]byte, uploadBytes))))
--- a/standin/raw_server.go
+++ b/standin/raw_server.go
@@ -24,6 +24,24 @@
 // partBytes is the length of the part of a body that ResetUpload sends.
 const partBytes = 1000
 
+// brokenHeads are heads of responses that RFC 9112 doesn't allow, by what is wrong with them. ID stands for the attempt ID.
+var brokenHeads = map[string]string{
+	"status 000":           "HTTP/1.1 000 Zero\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+	"status 099":           "HTTP/1.1 099 Low\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+	"status 600":           "HTTP/1.1 600 High\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+	"a sign in the status": "HTTP/1.1 +20 Sign\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+}
+
+// BrokenResponses returns responses with heads that RFC 9112 doesn't allow, by what is wrong with them. The body of each is a whole response to
+// the attempt ID, which a client that skips the head takes for the next one.
+func BrokenResponses(id string) map[string]string {
+	out := map[string]string{}
+	for name, head := range brokenHeads {
+		out[name] = strings.ReplaceAll(head+"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno", "ID", id)
+	}
+	return out
+}
+
 // NewRawServer starts a server on a loopback address. Respond is called once the head of a request has been read. When it returns, the server
 // ends its sending side and reads until the client closes the connection.
 func NewRawServer(respond func(c *net.TCPConn, r *http.Request)) (*RawServer, error) {
