Refuse responses with malformed names of fields

Callers saw: a server in trouble sent a response in whose head the name of a field held a blank or a control byte. Clients got it as a response, with that line passed on. With a blank beside the name Content-Length, the response had no length for the sidecar, and clients got whatever the server sent up to the end of the connection as its body. A line that began with a blank or a tab became a part of the value before it, and chunks in HTTP/1.0 were passed on with their sizes as a part of the body.

Cause: http.ReadResponse refuses control bytes, but accepts blanks in names, joins lines that begin with a blank, and ignores Transfer-Encoding in HTTP/1.0.

Change: the check of a head covers the names of its fields, by httpguts of golang.org/x/net, and a transfer encoding in HTTP/1.0. A continued line is refused, as section 5.2 of RFC 9112 allows a proxy to do. Values and lengths are still checked by the library; the cases that it refuses already (control bytes in names and values, an empty name) stay in the tests.

--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/net/http/httpguts"
 )
 
 // newExchange returns an exchange on a connection from which text is read.
@@ -72,6 +73,11 @@
 		if a.StatusCode < http.StatusOK || a.StatusCode > 599 {
 			t.Fatalf("receive returned status %d", a.StatusCode)
 		}
+		for name := range a.Header {
+			if !httpguts.ValidHeaderFieldName(name) {
+				t.Fatalf("receive returned a field with the name %q", name)
+			}
+		}
 		body, err := io.ReadAll(a.Body)
 		if err == nil && a.ContentLength >= 0 && int64(len(body)) != a.ContentLength {
 			t.Fatal("no error for a truncated response")
--- a/http1/head.go
+++ b/http1/head.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"regexp"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -16,6 +17,9 @@
 var (
 	errHeadTooLong = errors.New("the head of the response is too long")
 	errStatusLine  = errors.New("the response has a malformed status line")
+	errFieldName   = errors.New("the header of the response has a malformed field name")
+	// errTransferEncoding is the error of a response that names a transfer encoding in a version without them.
+	errTransferEncoding = errors.New("the response of HTTP/1.0 has a transfer encoding")
 
 	statusLineStart = regexp.MustCompile(`^HTTP/1\.[0-9] [1-5][0-9]{2}( |$)`)
 )
@@ -79,15 +83,33 @@
 	}
 }
 
-// checkHead returns an error if a complete head has a status line that RFC 9112 doesn't allow.
+// checkHead returns an error if a complete head has a status line or names of fields that RFC 9112 doesn't allow. The library checks the values.
 func checkHead(head []byte) error {
-	line, _, _ := bytes.Cut(head, []byte("\n"))
-	if !validStatusLine(bytes.TrimSuffix(line, []byte("\r"))) {
+	line, rest := cutLine(head)
+	if !validStatusLine(line) {
 		return errStatusLine
 	}
+	// HTTP/1.0 has no chunks, so the library would take their sizes for a part of the body.
+	chunks := !bytes.HasPrefix(line, []byte("HTTP/1.0"))
+	for line, rest = cutLine(rest); len(line) > 0; line, rest = cutLine(rest) {
+		// A line that begins with a blank continues the value of the one before, which RFC 9112 allows to refuse.
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+			return errFieldName
+		}
+		if !chunks && strings.EqualFold(string(name), "Transfer-Encoding") {
+			return errTransferEncoding
+		}
+	}
 	return nil
 }
 
+// cutLine returns the first line of b without its end, and what follows it.
+func cutLine(b []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(b, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest
+}
+
 // validStatusLine reports whether a line without its end is the status line of a response in HTTP/1, with a status code from 100 to 599. The
 // reason, and the blank before it, may be missing.
 func validStatusLine(line []byte) bool {
--- a/standin/raw_server.go
+++ b/standin/raw_server.go
@@ -26,10 +26,20 @@
 
 // brokenHeads are heads of responses that RFC 9112 doesn't allow, by what is wrong with them. ID stands for the attempt ID.
 var brokenHeads = map[string]string{
-	"status 000":           "HTTP/1.1 000 Zero\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
-	"status 099":           "HTTP/1.1 099 Low\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
-	"status 600":           "HTTP/1.1 600 High\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
-	"a sign in the status": "HTTP/1.1 +20 Sign\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+	"status 000":                       "HTTP/1.1 000 Zero\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+	"status 099":                       "HTTP/1.1 099 Low\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+	"status 600":                       "HTTP/1.1 600 High\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+	"a sign in the status":             "HTTP/1.1 +20 Sign\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+	"a control byte in the reason":     "HTTP/1.1 200 O\x00K\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+	"another major version":            "HTTP/2.0 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+	"a blank in a name":                "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nX Broken: x\r\nContent-Length: 2\r\n\r\n",
+	"a blank after the name of length": "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nContent-Length : 2\r\n\r\n",
+	"a blank before the name":          "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\n Content-Length: 2\r\n\r\n",
+	"a tab before the name":            "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\n\tContent-Length: 2\r\n\r\n",
+	"a control byte in a name":         "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nX\x01Broken: x\r\nContent-Length: 2\r\n\r\n",
+	"a control byte in a value":        "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nX-Broken: x\x01\r\nContent-Length: 2\r\n\r\n",
+	"an empty name":                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\n: x\r\nContent-Length: 2\r\n\r\n",
+	"chunks in HTTP/1.0":               "HTTP/1.0 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
 }
 
 // BrokenResponses returns responses with heads that RFC 9112 doesn't allow, by what is wrong with them. The body of each is a whole response to
