Don't skip a response whose end is uncertain

Callers could see: bytes that a faulty server sent behind an interim response, or behind a late response to another request, as its response to theirs.

Cause: http1 skips such responses and reads the next head behind them. An interim response, a 204, a 304 and a response to HEAD have no body, whatever their head announces, so that the bytes of a body that the server sent all the same were read as the next head. A late response to HEAD was skipped together with as many bytes of the next response as it announced.

Change: a response is skipped only if its head leaves no doubt where it ends: no body is announced where none is allowed, and none is announced on a connection that carried HEAD. Otherwise the connection is closed and the request has no response.

Evidence: before, the five cases of TestSkippedBody that need no state of the connection failed on each run: the body was returned as the response. After, all six pass.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -37,6 +37,8 @@
 	address string
 	// usableUntil is the time until which the connection may be reused. After it the server may close the connection.
 	usableUntil time.Time
+	// sentHead is true once a request with method HEAD was sent. The response to one may come late, and no body follows it.
+	sentHead bool
 	// writtenBytes counts the bytes of the current request's head, and of a body that is sent with it.
 	writtenBytes atomic.Int64
 }
@@ -180,6 +182,7 @@
 // receive reads the head of the response. It sends a withheld body once a 100 Continue arrives.
 func (x *exchange) receive() (*http.Response, error) {
 	c, r := x.conn, x.request
+	c.sentHead = c.sentHead || r.Method == http.MethodHead
 	for range maxSkippedResponses {
 		if err := c.checkNextHead(); err != nil {
 			return nil, err
@@ -191,16 +194,16 @@
 		switch {
 		case a.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errProtocolSwitch
+		case a.StatusCode >= http.StatusOK && (r.AcceptsResponse == nil || r.AcceptsResponse(a.Header)):
+			return a, nil
+		case a.ContentLength < 0 || x.hasDoubtfulEnd(a):
+			return nil, errOtherResponses
 		case a.StatusCode == http.StatusContinue && x.awaitingContinue:
 			x.awaitingContinue = false
 			x.sendBody()
 			continue
 		case a.StatusCode < http.StatusOK:
 			continue
-		case r.AcceptsResponse == nil || r.AcceptsResponse(a.Header):
-			return a, nil
-		case a.ContentLength < 0:
-			return nil, errOtherResponses
 		}
 		x.skipped = true
 		if err := skipBody(a.Body); err != nil {
@@ -210,6 +213,15 @@
 	return nil, errOtherResponses
 }
 
+// hasDoubtfulEnd reports whether it is uncertain where a response ends that is skipped: its head announces a body, but none may follow. A faulty
+// server could send one all the same, which would be read as the next head.
+func (x *exchange) hasDoubtfulEnd(a *http.Response) bool {
+	length := a.Header.Get("Content-Length")
+	announced := len(a.TransferEncoding) > 0 || length != "" && length != "0"
+	without := a.StatusCode < http.StatusOK || a.StatusCode == http.StatusNoContent || a.StatusCode == http.StatusNotModified
+	return announced && (without || x.conn.sentHead)
+}
+
 // skipBody reads the body of a response to another request. It fails if that is longer than maxSkippedBytes.
 func skipBody(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -88,6 +89,37 @@
 	})
 }
 
+// TestSkippedBody guards against bytes of a skipped response that are read as the next head: the protocol allows no body there, but its head
+// announces one.
+func TestSkippedBody(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 2\r\n\r\nno"
+	length := "Content-Length: " + strconv.Itoa(len(response)) + "\r\n\r\n"
+	for name, c := range map[string]struct {
+		method  string
+		skipped string
+	}{
+		"an interim response with a length":      {http.MethodGet, "HTTP/1.1 103 Early Hints\r\n" + length},
+		"an interim response with chunks":        {http.MethodGet, "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"},
+		"a late response without content":        {http.MethodGet, "HTTP/1.1 204 No Content\r\nId: other\r\n" + length},
+		"a late response that isn't modified":    {http.MethodGet, "HTTP/1.1 304 Not Modified\r\nId: other\r\n" + length},
+		"a late response before the one to HEAD": {http.MethodHead, "HTTP/1.1 200 OK\r\nId: other\r\n" + length},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newExchange(c.skipped + response)
+			x.request.Method = c.method
+			_, err := x.receive()
+			is.New(t).True(err != nil)
+		})
+	}
+	t.Run("a late response to an earlier HEAD", func(t *testing.T) {
+		own := "HTTP/1.1 200 OK\r\nId: one\r\n" + length
+		x := newExchange("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: " + strconv.Itoa(len(own)) + "\r\n\r\n" + own + response)
+		x.conn.sentHead = true
+		_, err := x.receive()
+		is.New(t).True(err != nil)
+	})
+}
+
 // TestExpectContinue guards against a body that is sent before the 100 Continue, and against an error that counts the
 // request as sent although its body was withheld. The server refuses the request, asks for the body or closes the connection.
 func TestExpectContinue(t *testing.T) {
