--- a/http1/conn.go
+++ b/http1/conn.go
@@ -94,6 +94,11 @@
 	errProtocolSwitch = errors.New("the server switched protocols")
 )
 
+// newConn returns a connection that reads from a source.
+func newConn(source io.Reader) *Conn {
+	return &Conn{source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+}
+
 // do sends a request and reads the head of its response. Reads and writes fail if ctx ends before the end of the body.
 func (c *Conn) do(ctx context.Context, p *Pool, r *Request) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, c.abort)
--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -19,8 +19,7 @@
 
 // newExchange returns an exchange on a connection from which text is read.
 func newExchange(text string) *exchange {
-	r := strings.NewReader(text)
-	return &exchange{conn: &Conn{source: r, reader: bufio.NewReader(r)}, request: &Request{Method: http.MethodGet, AcceptsResponse: isResponseToOne}}
+	return &exchange{conn: newConn(strings.NewReader(text)), request: &Request{Method: http.MethodGet, AcceptsResponse: isResponseToOne}}
 }
 
 // isResponseToOne reports whether a response belongs to the request with ID one.
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -3,7 +3,6 @@
 package http1
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -182,7 +181,9 @@
 		_ = t.Close()
 		return nil, err
 	}
-	return &Conn{net: s, source: s, reader: bufio.NewReaderSize(s, readBufferBytes), address: address}, nil
+	c := newConn(s)
+	c.net, c.address = s, address
+	return c, nil
 }
 
 // usableUntil returns the time until which the connection of a response may be reused; zero if it may not.
