Bound the responses to control messages and of the store

Callers could lose: requests in progress at a sidecar that ran out of memory, because a host that it had polled, or the store, sent bytes without end. Other systems saw that with faulty servers; the responses of backend servers are bounded here (TestEndlessResponses of http1 and hostile), but those to the sidecar's own messages were not.

Cause: the clients for control messages and for the store use the transport of net/http, which keeps 10 MiB of a head, several times that in memory, and the Connect client reads a message, or the body of an error, until it ends or the request times out. A sidecar polls the hosts of addresses that the store names, where something else may answer.

--- a/peer/client.go
+++ b/peer/client.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/jaypitch/jaypitch/http1"
 	"github.com/jaypitch/jaypitch/schema/schemaconnect"
 )
 
@@ -75,7 +76,7 @@
 		Protocols:       new(http.Protocols),
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
-	return &Clients{http: &http.Client{Transport: t}, clients: map[string]schemaconnect.PeerClient{}}
+	return &Clients{http: &http.Client{Transport: http1.NewBoundedTransport(t, maxMessageBytes)}, clients: map[string]schemaconnect.PeerClient{}}
 }
 
 // To returns the client for the peer at an address, host:port. It creates the client if there is none.
--- a/source/client.go
+++ b/source/client.go
@@ -44,6 +44,8 @@
 	responseGrace = 5 * time.Second
 	// maxResponseBytes limits the body of a response. A value takes up to twice its size in the encoding, and a watch returns several values.
 	maxResponseBytes = 64 << 20
+	// maxHeadBytes limits the status line and header of a response.
+	maxHeadBytes = 64 << 10
 )
 
 var (
@@ -53,7 +55,7 @@
 
 // NewClient returns a client for a collection of the platform at an address (host:port).
 func NewClient(address string, collection Collection, now func() time.Time) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	t := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{http: &http.Client{Transport: t}, base: fmt.Sprintf("http://%s/v1/%s/", address, collection), now: now}
 }
 
--- a/source/reader_test.go
+++ b/source/reader_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -19,6 +21,17 @@
 
 const settingsText = "[team]\nname = fairs\n"
 
+// TestLongHead guards against a head of the platform's response that is kept however long it is.
+func TestLongHead(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 2*maxHeadBytes))
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer server.Close()
+	_, err := NewClient(strings.TrimPrefix(server.URL, "http://"), Teams, time.Now).List(context.Background())
+	is.New(t).True(err != nil)
+}
+
 // TestClientContract checks the contract of jaypitch.Source with the client and the stand-in platform over HTTP.
 func TestClientContract(t *testing.T) {
 	p := standin.NewPlatform(1 << 20)
