A stopping sidecar makes no attempt that it can't wait for

Callers saw, on another system: in a planned stop, requests that came late in the grace time were passed on and cut at its end without a response, among them ones that may not be repeated. Here such a request got 504, though its server was executing it.

Cause: a request was refused if its deadline is after the end of the process, but the end was read when the head of the request had come. A request whose body took until after the signal was passed on however late it was, and so was each retry and hedge of a request from before the signal. A deadline just before the end was accepted although the response is awaited for 80 ms after it.

Change: the dispatcher looks at the end of the process before each attempt and hedge, after the body has been read, and counts those 80 ms. The request is refused as not executed, unless an attempt may have been executed before.

--- a/outbound/dispatcher.go
+++ b/outbound/dispatcher.go
@@ -36,6 +36,8 @@
 	// beginAttempt is the argument of WithDataCentreCounts.
 	beginAttempt func(dataCentre string) (end func())
 	recordAnswer func(mesh.Answer)
+	// endsAt is the argument of WithEnd.
+	endsAt func() time.Time
 
 	mu     sync.Mutex
 	picker *route.MeshPicker
@@ -91,7 +93,8 @@
 	picker *route.MeshPicker, budget *route.MeshRetryBudget, now func() time.Time,
 	record func(f *jaypitch.MeshRequest, r *jaypitch.MeshResponse, attempt int), options ...Option) *Dispatcher {
 	d := &Dispatcher{localAddress: localAddress, peerAddress: peerAddress, replica: replica, forwarder: forwarder, local: local,
-		picker: picker, budget: budget, now: now, record: record, hedgeable: map[string]map[*hedgeable]bool{}}
+		picker: picker, budget: budget, now: now, record: record, hedgeable: map[string]map[*hedgeable]bool{},
+		endsAt: func() time.Time { return time.Time{} }}
 	d.recordAnswer = func(a mesh.Answer) { replica.RecordAnswer(a, now()) }
 	for _, o := range options {
 		o(d)
@@ -104,6 +107,11 @@
 	return func(d *Dispatcher) { d.decodeNotice = decode }
 }
 
+// WithEnd sets the function that returns when the process ends at the latest; zero if it isn't stopping. Attempts that could end later aren't made.
+func WithEnd(at func() time.Time) Option {
+	return func(d *Dispatcher) { d.endsAt = at }
+}
+
 // Prune drops the state of servers that are not in the table.
 func (d *Dispatcher) Prune(t *mesh.Table) {
 	d.mu.Lock()
@@ -118,6 +126,10 @@
 	a := &attempts{rule: rule, service: service}
 	d.recordRequest(service)
 	for a.sent < attemptLimit {
+		if d.endsBefore(f) {
+			a.keepBest(jaypitch.NotExecutedResponse(jaypitch.CodeStopping, "the sidecar may stop before the deadline of the request"))
+			break
+		}
 		pick := d.pick(a, f)
 		if pick.Server == nil {
 			a.recordNoServer(pick)
@@ -136,6 +148,12 @@
 	return r
 }
 
+// endsBefore reports whether the process may end before the response to an attempt of a request.
+func (d *Dispatcher) endsBefore(f *jaypitch.MeshRequest) bool {
+	at := d.endsAt()
+	return !at.IsZero() && f.Deadline.Add(responseGrace).After(at)
+}
+
 // requestFor returns a copy of the request for the sidecar beside the chosen server.
 func (d *Dispatcher) requestFor(a *attempts, f *jaypitch.MeshRequest, pick route.MeshPick) *jaypitch.MeshRequest {
 	out := *f
--- a/outbound/dispatcher_test.go
+++ b/outbound/dispatcher_test.go
@@ -65,7 +65,7 @@
 
 // dispatch makes the attempts of one request with a scripted forwarder and six servers. Slack is that of the retry budget;
 // zero allows no retries.
-func dispatch(h *fakeForwarder, idempotent bool, attempts int64, slack int64) *jaypitch.MeshResponse {
+func dispatch(h *fakeForwarder, idempotent bool, attempts int64, slack int64, options ...Option) *jaypitch.MeshResponse {
 	s := mesh.NewReplica()
 	rule := &schema.MeshRule{Name: "r", Host: "h", Prefix: "/", Idempotent: idempotent, Attempts: attempts, TargetUs: 500_000, TimeoutUs: 1_000_000,
 		Parts: []*schema.MeshPart{{Service: "x", Weight: 1}}}
@@ -75,7 +75,7 @@
 	}
 	s.Merge(u, testTime)
 	d := NewDispatcher("10.0.0.0:1", func(server string) string { return server }, s, h, h, route.NewMeshPicker("here", func() float64 { return 0 }),
-		route.NewMeshRetryBudget(0, slack, 10*time.Second), func() time.Time { return testTime }, func(*jaypitch.MeshRequest, *jaypitch.MeshResponse, int) {})
+		route.NewMeshRetryBudget(0, slack, 10*time.Second), func() time.Time { return testTime }, func(*jaypitch.MeshRequest, *jaypitch.MeshResponse, int) {}, options...)
 	f := &jaypitch.MeshRequest{ID: "one", Body: []byte("body"), Rule: "r", Idempotent: idempotent, Deadline: testTime.Add(time.Second), TargetDeadline: testTime.Add(time.Second / 2)}
 	return d.Do(context.Background(), f, s.Table().Match("h", "/"), "x")
 }
@@ -138,3 +138,37 @@
 		is.Equal(dispatch(h, true, 2, 1000).Status, http.StatusInternalServerError)
 	})
 }
+
+// TestNoAttemptPastEnd guards against attempts of a stopping process that it can't wait for: they would be cut at its end.
+func TestNoAttemptPastEnd(t *testing.T) {
+	deadline := testTime.Add(time.Second)
+	for name, c := range map[string]struct {
+		// endsAt is when the process ends, known after the attempts in progress.
+		endsAt     time.Time
+		inProgress int
+		first      string
+		attempts   int
+		execution  jaypitch.Execution
+	}{
+		"of a request that arrives":                  {deadline, 0, "ok", 0, jaypitch.NotExecuted},
+		"of one that is answered just before":        {deadline.Add(responseGrace), 0, "ok", 1, jaypitch.Executed},
+		"after one that was refused":                 {deadline, 1, "stopping", 1, jaypitch.NotExecuted},
+		"after one that may have been executed":      {deadline, 1, "lost", 1, jaypitch.ExecutionUnknown},
+		"after one that was refused, just before":    {deadline.Add(responseGrace), 1, "stopping", 2, jaypitch.Executed},
+		"after one that was refused, without a stop": {time.Time{}, 0, "stopping", 2, jaypitch.Executed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := &fakeForwarder{script: []jaypitch.MeshResponse{outcomes[c.first], outcomes["ok"]}, servers: map[string]bool{}}
+			r := dispatch(h, true, 2, 1000, WithEnd(func() time.Time {
+				if h.attempts < c.inProgress {
+					return time.Time{}
+				}
+				return c.endsAt
+			}))
+			is.Equal(h.attempts, c.attempts)
+			is.Equal(r.Execution, c.execution)
+			is.Equal(r.Execution == jaypitch.NotExecuted, r.RetryAfter > 0)
+		})
+	}
+}
--- a/outbound/handler.go
+++ b/outbound/handler.go
@@ -45,8 +45,6 @@
 	Service string
 	// Stopping is true if client connections are to be closed after the response.
 	Stopping bool
-	// EndsAt is when the process ends at the latest; zero if it isn't stopping. Requests with a later deadline are refused.
-	EndsAt time.Time
 	// Unconfirmed is true if the replica isn't complete yet, or isn't confirmed and may be outdated. All requests are refused then.
 	Unconfirmed bool
 }
@@ -159,9 +157,6 @@
 		return jaypitch.NotExecutedResponse(jaypitch.CodeTooManyCalls, "the memory budget has no room for the response")
 	}
 	f.Body, f.Header = body.Data, hop.EndToEndHeader(r.Header)
-	if !local.EndsAt.IsZero() && f.Deadline.After(local.EndsAt) {
-		return jaypitch.NotExecutedResponse(jaypitch.CodeStopping, "the sidecar may stop before the deadline of the request")
-	}
 	rec.Service = rule.Destination(h.draw(rule.GetName()))
 	return h.dispatcher.Do(r.Context(), f, rule, rec.Service)
 }
--- a/outbound/hedge.go
+++ b/outbound/hedge.go
@@ -60,7 +60,7 @@
 	if u.hedge != nil || a.sent+1 >= attemptLimit || a.arrived+1 >= int(a.rule.GetAttempts()) {
 		return nil
 	}
-	if !d.spendRetry(a, u.request) {
+	if d.endsBefore(u.request) || !d.spendRetry(a, u.request) {
 		return nil
 	}
 	h := &hedge{dispatcher: d, first: u, done: make(chan struct{}),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -144,7 +144,7 @@
 	retryBudget := route.NewMeshRetryBudget(ratio, s.GetBounds().GetRetrySlack(), micros(s.GetBounds().GetRetryWindowUs()))
 	c.hopClient = hop.NewClient(c.peerPool, c.now)
 	c.dispatcher = outbound.NewDispatcher(s.GetSidecar().GetBackend(), c.peerAddress, c.replica, c.hopClient, c.receiver, picker, retryBudget, c.now, c.recordAttempt,
-		outbound.WithNotices(p.DecodeNotice), outbound.WithAnswers(c.recordAnswer), outbound.WithDataCentreCounts(c.beginAttempt), outbound.WithLink(c.link.incoming, c.link.outgoing))
+		outbound.WithNotices(p.DecodeNotice), outbound.WithEnd(c.end), outbound.WithAnswers(c.recordAnswer), outbound.WithDataCentreCounts(c.beginAttempt), outbound.WithLink(c.link.incoming, c.link.outgoing))
 	c.handler = outbound.NewHandler(c.dispatcher, c.replica, p.HeaderNames, c.localState, c.memory.budget, c.tracker, c.now, c.recordRequest)
 	c.watcher = &watcher{source: p.NewSource(s.GetStore().GetAddress(), c.now, c.recordUndecodable), merge: c.merge, position: c.replica.Position, confirmation: c.confirmation, isReader: c.isReader, seeded: c.seeded, starting: c.starting, readsAllPages: c.readsAllPages, triggered: make(chan struct{}, 1), now: c.now,
 		maxWait: micros(s.GetStore().GetWaitUs()), log: log}
@@ -290,11 +290,15 @@
 // localState returns the state of this process that the handler needs for each request.
 func (c *Sidecar) localState() outbound.LocalState {
 	c.reloader.refresh()
-	o := outbound.LocalState{Service: c.settings.Load().GetSidecar().GetService(), Stopping: c.stopping.Load(), Unconfirmed: c.unconfirmed() || c.replica.Revision() == 0}
+	return outbound.LocalState{Service: c.settings.Load().GetSidecar().GetService(), Stopping: c.stopping.Load(), Unconfirmed: c.unconfirmed() || c.replica.Revision() == 0}
+}
+
+// end returns when a stopping sidecar ends at the latest; zero before it stops.
+func (c *Sidecar) end() time.Time {
 	if at := c.endsAt.Load(); at != nil {
-		o.EndsAt = *at
+		return *at
 	}
-	return o
+	return time.Time{}
 }
 
 // ready reports whether the platform may send clients to this sidecar.
