A broken head ends the request at its first broken line

Callers would have seen: a request that waits until its deadline, and holds a slot, because a server sent bytes that are no response and kept the connection open.

Change: the lines of a head are checked as they arrive, and the first bytes before their line is complete.

Evidence: before, the three cases of TestBrokenHeadEndsAtOnce read on.

--- a/http1/head.go
+++ b/http1/head.go
@@ -11,8 +11,20 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// maxHeadBytes limits the status line and header of a response.
-const maxHeadBytes = 64 << 10
+// headCheck checks the lines of a head.
+type headCheck struct {
+	// started is true once the status line was checked.
+	started bool
+	// withoutChunks is true if the version of the response has no transfer encodings.
+	withoutChunks bool
+}
+
+const (
+	// maxHeadBytes limits the status line and header of a response.
+	maxHeadBytes = 64 << 10
+	// protocolName is what each status line begins with.
+	protocolName = "HTTP/1."
+)
 
 var (
 	errHeadTooLong = errors.New("the head of the response is too long")
@@ -24,37 +36,42 @@
 	statusLineStart = regexp.MustCompile(`^HTTP/1\.[0-9] [1-5][0-9]{2}( |$)`)
 )
 
-// checkNextHead waits for the whole next head and returns an error unless it is one of HTTP/1. It consumes nothing.
+// checkNextHead waits for the whole next head, and returns an error as soon as it is certain that it isn't one of HTTP/1. It consumes nothing, and
+// at most maxHeadBytes are held.
 //
 // http.ReadResponse accepts more than the protocol allows, and a head that is skipped moves the place where the next one is read.
 func (c *Conn) checkNextHead() error {
-	head, err := c.peekHead()
-	if err != nil {
-		return err
-	}
-	return checkHead(head)
-}
-
-// peekHead returns the bytes of the next head, without consuming them. At most maxHeadBytes are held.
-func (c *Conn) peekHead() ([]byte, error) {
-	for searched := 0; ; {
-		if _, err := c.reader.Peek(searched + 1); err != nil {
+	h := headCheck{}
+	// start is where the current line begins, and read the number of bytes that have arrived.
+	for start, read := 0, 0; ; {
+		if _, err := c.reader.Peek(read + 1); err != nil {
 			if err == io.EOF {
 				err = io.ErrUnexpectedEOF
 			}
-			return nil, err
+			return err
 		}
 		b, _ := c.reader.Peek(c.reader.Buffered())
-		// The last line may have been searched in part, with a line end before it.
-		if n := headLength(b, max(0, searched-2)); n > 0 {
-			return b[:n], nil
+		for {
+			i := bytes.IndexByte(b[read:], '\n')
+			if i < 0 {
+				break
+			}
+			line := b[start : read+i]
+			read += i + 1
+			start = read
+			if whole, err := h.next(bytes.TrimSuffix(line, []byte("\r"))); whole || err != nil {
+				return err
+			}
+		}
+		if start == 0 && !bytes.HasPrefix(b, []byte(protocolName)[:min(len(b), len(protocolName))]) {
+			return errStatusLine
 		}
-		searched = len(b)
-		if searched >= maxHeadBytes {
-			return nil, errHeadTooLong
+		read = len(b)
+		if read >= maxHeadBytes {
+			return errHeadTooLong
 		}
-		if searched == c.reader.Size() {
-			c.resizeBuffer(min(2*searched, maxHeadBytes))
+		if read == c.reader.Size() {
+			c.resizeBuffer(min(2*read, maxHeadBytes))
 		}
 	}
 }
@@ -65,49 +82,29 @@
 	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(b), c.source), size)
 }
 
-// headLength returns the length of the head that b begins with, including the empty line at its end; zero if b has only a part of it. The
-// empty line doesn't begin before from.
-func headLength(b []byte, from int) int {
-	for {
-		i := bytes.IndexByte(b[from:], '\n')
-		if i < 0 {
-			return 0
-		}
-		from += i + 1
-		switch rest := b[from:]; {
-		case bytes.HasPrefix(rest, []byte("\n")):
-			return from + 1
-		case bytes.HasPrefix(rest, []byte("\r\n")):
-			return from + 2
+// next checks the next line, without its end. Whole is true if the head ends with it. The library checks the values of fields.
+func (h *headCheck) next(line []byte) (whole bool, err error) {
+	if !h.started {
+		h.started = true
+		h.withoutChunks = bytes.HasPrefix(line, []byte("HTTP/1.0"))
+		if !validStatusLine(line) {
+			return false, errStatusLine
 		}
+		return false, nil
 	}
-}
-
-// checkHead returns an error if a complete head has a status line or names of fields that RFC 9112 doesn't allow. The library checks the values.
-func checkHead(head []byte) error {
-	line, rest := cutLine(head)
-	if !validStatusLine(line) {
-		return errStatusLine
+	if len(line) == 0 {
+		return true, nil
 	}
-	// HTTP/1.0 has no chunks, so the library would take their sizes for a part of the body.
-	chunks := !bytes.HasPrefix(line, []byte("HTTP/1.0"))
-	for line, rest = cutLine(rest); len(line) > 0; line, rest = cutLine(rest) {
-		// A line that begins with a blank continues the value of the one before, which RFC 9112 allows to refuse.
-		name, _, found := bytes.Cut(line, []byte(":"))
-		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
-			return errFieldName
-		}
-		if !chunks && strings.EqualFold(string(name), "Transfer-Encoding") {
-			return errTransferEncoding
-		}
+	// A line that begins with a blank continues the value of the one before, which RFC 9112 allows to refuse.
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return false, errFieldName
 	}
-	return nil
-}
-
-// cutLine returns the first line of b without its end, and what follows it.
-func cutLine(b []byte) (line, rest []byte) {
-	line, rest, _ = bytes.Cut(b, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r")), rest
+	// The library would take the sizes of the chunks for a part of the body.
+	if h.withoutChunks && strings.EqualFold(string(name), "Transfer-Encoding") {
+		return false, errTransferEncoding
+	}
+	return false, nil
 }
 
 // validStatusLine reports whether a line without its end is the status line of a response in HTTP/1, with a status code from 100 to 599. The
--- a/http1/truncated_test.go
+++ b/http1/truncated_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -90,3 +91,27 @@
 		})
 	}
 }
+
+// silence is the read of a connection on which nothing arrives any more.
+type silence struct{ t *testing.T }
+
+func (s silence) Read([]byte) (int, error) {
+	s.t.Fatal("more was read")
+	return 0, io.EOF
+}
+
+// TestBrokenHeadEndsAtOnce guards against a request that waits until its deadline for the rest of bytes that are no response.
+func TestBrokenHeadEndsAtOnce(t *testing.T) {
+	for name, text := range map[string]string{
+		"no status line": "\x00\x01 no",
+		"status":         "HTTP/1.1 000 Zero\r\n",
+		"field name":     "HTTP/1.1 200 OK\r\nX Y: z\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newExchange("")
+			x.conn = newConn(io.MultiReader(strings.NewReader(text), silence{t}))
+			_, err := x.receive()
+			is.New(t).True(err != nil)
+		})
+	}
+}
