--- a/http1/socket_test.go
+++ b/http1/socket_test.go
@@ -30,13 +30,14 @@
 	}
 	for name, c := range map[string]struct {
 		sequence []func(*net.TCPConn)
-		// failsWrite is true if the write ends by what the other side does. It ends before the read then.
-		failsWrite bool
-		want       error
+		// write is true if an upload is in progress, failsWrite if it ends by what the other side does. It ends before the read then.
+		write, failsWrite bool
+		want              error
 	}{
-		"a reset":                     {[]func(*net.TCPConn){reset}, true, syscall.ECONNRESET},
-		"an end":                      {[]func(*net.TCPConn){end}, false, nil},
-		"an end and a reset after it": {[]func(*net.TCPConn){end, reset}, true, nil},
+		"a reset":                          {[]func(*net.TCPConn){reset}, true, true, syscall.ECONNRESET},
+		"a reset while nothing is written": {[]func(*net.TCPConn){reset}, false, false, syscall.ECONNRESET},
+		"an end":                           {[]func(*net.TCPConn){end}, true, false, nil},
+		"an end and a reset after it":      {[]func(*net.TCPConn){end, reset}, true, true, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -52,7 +53,9 @@
 			is.NoErr(err)
 			defer server.Close()
 			u := &upload{to: s, done: make(chan error, 1)}
-			go u.run()
+			if c.write {
+				go u.run()
+			}
 			_, err = io.WriteString(server, "part")
 			is.NoErr(err)
 			for _, f := range c.sequence {
--- a/http1/truncated_test.go
+++ b/http1/truncated_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -86,7 +85,7 @@
 			is.True(err != nil)
 			is.True(!errors.Is(err, io.EOF))
 			if r.read > maxHeadBytes+readBufferBytes {
-				t.Fatal(fmt.Sprintf("%d bytes were read", r.read))
+				t.Fatalf("%d bytes were read", r.read)
 			}
 		})
 	}
