Move what acts on a connection of http1 to its socket

abort and close reached into the socket's TCP connection. No change of behaviour; http1, inbound, hop and backend pass with the race detector.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -101,7 +101,7 @@
 
 // do sends a request and reads the head of its response. Reads and writes fail if ctx ends before the end of the body.
 func (c *Conn) do(ctx context.Context, p *Pool, r *Request) (*http.Response, error) {
-	stop := context.AfterFunc(ctx, c.abort)
+	stop := context.AfterFunc(ctx, c.net.abort)
 	x := &exchange{conn: c, request: r, awaitingContinue: r.ExpectContinue && len(r.Body) > 0}
 	err := x.send()
 	if err != nil {
@@ -238,16 +238,11 @@
 
 // reusable reports whether an idle connection is still open and has no unsolicited data to read.
 func (c *Conn) reusable() bool {
-	return c.reader.Buffered() == 0 && c.net.unread()
-}
-
-// abort makes pending and later reads and writes fail.
-func (c *Conn) abort() {
-	_ = c.net.tcp.SetDeadline(time.Unix(1, 0))
+	return c.reader.Buffered() == 0 && c.net.idle()
 }
 
 func (c *Conn) close() {
-	_ = c.net.tcp.Close()
+	c.net.close()
 }
 
 // Read reads from the body. At the end of the body it releases the connection.
--- a/http1/socket.go
+++ b/http1/socket.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -73,8 +74,8 @@
 	return s.writeErr
 }
 
-// unread reports whether the connection is open and has nothing to read.
-func (s *socket) unread() bool {
+// idle reports whether the connection is open and has nothing to read.
+func (s *socket) idle() bool {
 	open := false
 	err := s.raw.Read(func(fd uintptr) bool {
 		var b [1]byte
@@ -84,3 +85,12 @@
 	})
 	return err == nil && open
 }
+
+// abort makes pending and later reads and writes fail.
+func (s *socket) abort() {
+	_ = s.tcp.SetDeadline(time.Unix(1, 0))
+}
+
+func (s *socket) close() {
+	_ = s.tcp.Close()
+}
