A byte read before a request begins doesn't end the read-ahead

Callers saw: pipelined idempotent requests that waited, one by one, for the ones ahead of them.

Cause: the HTTP server begins to read one byte behind a request just before it calls the handler. If that byte was there and the handler began later, aheadConn passed it on as an ordinary read, and nothing read what came after it until the response.

Change: the read of one byte waits until the request has begun, or until the HTTP server aborts it or closes the connection.

Evidence: before, TestByteBeforeBegin failed on each run; after, 3 runs of outbound with the race detector pass.

--- a/outbound/limits.go
+++ b/outbound/limits.go
@@ -92,7 +92,7 @@
 	}
 	ahead := newAheadConn(c)
 	out := &limitedConn{Conn: ahead, listener: l}
-	ahead.awaitLeaving = out.awaitLeaving
+	ahead.awaitLeaving, ahead.aborted = out.awaitLeaving, out.watch.begin
 	return out, nil
 }
 
--- a/outbound/read_ahead.go
+++ b/outbound/read_ahead.go
@@ -34,6 +34,8 @@
 	lost bool
 	// current is the request in progress; nil between two requests.
 	current *http.Request
+	// begun is closed when the request whose head was read is in progress; nil unless a read waits for that.
+	begun chan struct{}
 	// start starts a request ahead of its turn, and returns nil if it has to wait. It is nil if every request behind the current one has to wait.
 	start func(current, next *http.Request) *aheadRequest
 	// queue holds the requests that were started, in the order in which they were sent.
@@ -42,6 +44,8 @@
 	cancel context.CancelFunc
 	// awaitLeaving returns io.EOF once a client that has closed its sending side has left, and another error if the read has to end before.
 	awaitLeaving func() error
+	// aborted returns a channel that is closed if the HTTP server needs the read no more.
+	aborted func() <-chan struct{}
 }
 
 const (
@@ -54,13 +58,19 @@
 )
 
 func newAheadConn(c net.Conn) *aheadConn {
-	return &aheadConn{Conn: c, inHead: true, awaitLeaving: func() error { return io.EOF }}
+	return &aheadConn{Conn: c, inHead: true, awaitLeaving: func() error { return io.EOF }, aborted: func() <-chan struct{} { return nil }}
 }
 
 // Read reads for the HTTP server. While a request is in progress, the server reads a single byte to notice that the client has gone. Once
 // that byte belongs to a further request, the read goes on until the server ends it by a deadline, so that more requests are seen.
 func (c *aheadConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
+	if len(p) == backgroundReadBytes && !c.inHead && c.current == nil {
+		if err := c.awaitBegin(); err != nil {
+			c.mu.Unlock()
+			return 0, err
+		}
+	}
 	if len(c.rest) > 0 {
 		n := c.pass(p, c.rest)
 		c.rest = c.rest[n:]
@@ -88,6 +98,21 @@
 	return passed, err
 }
 
+// awaitBegin waits until the request whose head was read is in progress: a byte behind it that is read before ends the read, and with it the read-ahead.
+// The caller holds the lock.
+func (c *aheadConn) awaitBegin() error {
+	begun := make(chan struct{})
+	c.begun = begun
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	select {
+	case <-begun:
+		return nil
+	case <-c.aborted():
+		return os.ErrDeadlineExceeded
+	}
+}
+
 // pass copies as many bytes as the HTTP server may get at once, and records what they are.
 func (c *aheadConn) pass(p, from []byte) int {
 	n := min(len(p), len(from))
@@ -164,6 +189,10 @@
 		start = nil
 	}
 	c.current, c.start = r, start
+	if c.begun != nil {
+		close(c.begun)
+		c.begun = nil
+	}
 	c.startAhead()
 }
 
--- a/outbound/read_ahead_test.go
+++ b/outbound/read_ahead_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -113,6 +114,51 @@
 	t.Fatalf("not true within a minute: %s", what)
 }
 
+// reader is the read of a single byte by which the HTTP server notices that a client has left.
+type reader struct{ conn net.Conn }
+
+func (r reader) run() {
+	_, _ = r.conn.Read(make([]byte, backgroundReadBytes))
+}
+
+// writer writes a text to a connection.
+type writer struct {
+	conn net.Conn
+	text string
+}
+
+func (w writer) run() {
+	_, _ = io.WriteString(w.conn, w.text)
+}
+
+// TestByteBeforeBegin guards against requests that are never seen while the one ahead of them is in progress, since their first byte was read just before it
+// began.
+func TestByteBeforeBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		inner, client := net.Pipe()
+		c := newAheadConn(inner)
+		defer client.Close()
+		defer c.Close()
+		go writer{client, get("/i/", "first")}.run()
+		_, err := c.Read(make([]byte, 4<<10))
+		is.NoErr(err)
+		go reader{c}.run()
+		second := get("/i/", "second")
+		go writer{client, second[:1]}.run()
+		synctest.Wait()
+		var started []string
+		c.begin(&http.Request{}, func() {}, func(_, next *http.Request) *aheadRequest {
+			started = append(started, next.Header.Get("Id"))
+			return &aheadRequest{cancel: func() {}}
+		})
+		synctest.Wait()
+		go writer{client, second[1:]}.run()
+		synctest.Wait()
+		is.Equal(started, []string{"second"})
+	})
+}
+
 // TestPipelinedRequests guards against idempotent requests that wait unseen behind others of their connection, and against others that don't wait.
 func TestPipelinedRequests(t *testing.T) {
 	release := make(chan struct{})
