Tests of connections and endless responses can't pass without requests

TestMaxConnections ignored failed requests, and TestEndlessResponses of hostile didn't look whether any reached the server: both would have passed if nothing was sent. A wait that the HTTP server aborted leaves no channel behind in aheadConn, as its comment says.

--- a/hostile/server_test.go
+++ b/hostile/server_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"github.com/jaypitch/jaypitch/scenario"
 	"github.com/jaypitch/jaypitch/standin"
 )
@@ -16,6 +18,7 @@
 	for _, b := range []standin.Behaviour{standin.EndlessHead, standin.EndlessLine, standin.EndlessChunk, standin.EndlessOther, standin.EndlessBody} {
 		t.Run(string(b), func(t *testing.T) {
 			w := newMesh(t, 0, memoryMB, memoryMB)
+			_, before := w.Hosts[0].Server.Executions("")
 			w.Hosts[0].Server.SetBehaviour(b)
 			var done sync.WaitGroup
 			for i := range clients {
@@ -26,6 +29,9 @@
 				})
 			}
 			done.Wait()
+			_, after := w.Hosts[0].Server.Executions("")
+			t.Logf("%d of %d requests reached the server", after-before, clients*requests)
+			is.New(t).True(after-before >= slots)
 			w.Hosts[0].Server.SetBehaviour(standin.Normal)
 			w.assertWithinBounds(t)
 		})
--- a/http1/client_test.go
+++ b/http1/client_test.go
@@ -19,7 +19,7 @@
 func TestMaxConnections(t *testing.T) {
 	is := is.New(t)
 	const most, requests = 2, 20
-	var inProgress, peak atomic.Int64
+	var inProgress, peak, complete atomic.Int64
 	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		n := inProgress.Add(1)
 		defer inProgress.Add(-1)
@@ -33,15 +33,19 @@
 	for range requests {
 		done.Go(func() {
 			a, err := c.Do(context.Background(), http.MethodGet, strings.TrimPrefix(s.URL, "http://"), "/", http.Header{}, nil)
-			if err == nil {
-				_, _ = io.Copy(io.Discard, a.Body)
-				_ = a.Body.Close()
+			if err != nil {
+				return
 			}
+			if _, err := io.Copy(io.Discard, a.Body); err == nil {
+				complete.Add(1)
+			}
+			_ = a.Body.Close()
 		})
 	}
 	done.Wait()
+	is.Equal(complete.Load(), int64(requests))
 	is.True(peak.Load() <= most)
-	is.Equal(c.pool.idleCount <= most, true)
+	is.True(c.pool.idleCount <= most)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	for range most {
--- a/http1/truncated_test.go
+++ b/http1/truncated_test.go
@@ -14,7 +14,7 @@
 	const head = "HTTP/1.1 200 OK\r\nServer: s\r\nId: one\r\n"
 	for name, c := range map[string]struct {
 		response string
-		// whole is the length from which the response is complete.
+		// whole is the length from which the response is complete; zero if that is its own length.
 		whole int
 	}{
 		"length":    {head + "Content-Length: 11\r\n\r\nhello world", 0},
--- a/outbound/read_ahead.go
+++ b/outbound/read_ahead.go
@@ -109,10 +109,20 @@
 	case <-begun:
 		return nil
 	case <-c.aborted():
+		c.forgetBegin(begun)
 		return os.ErrDeadlineExceeded
 	}
 }
 
+// forgetBegin records that no read waits any more, unless the request has begun meanwhile.
+func (c *aheadConn) forgetBegin(begun chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun == begun {
+		c.begun = nil
+	}
+}
+
 // pass copies as many bytes as the HTTP server may get at once, and records what they are.
 func (c *aheadConn) pass(p, from []byte) int {
 	n := min(len(p), len(from))
