--- a/review/third/standin/case12/main.go
+++ b/review/third/standin/case13/main.go
@@ -1,4 +1,4 @@
-// Command case12 plays case 12 of the third review: the store is down for a few seconds, and the first change after that is the removal of a server
+// Command case13 plays case 13 of the third review: the store is down for a few seconds, and the first change after that is the removal of a server
 // that never reported that it is draining. It exits with 1 if requests reach the server later than drainS after the removal was acknowledged.
 package main
 
