--- a/review/third/standin/bed/sidecar.go
+++ b/review/third/standin/bed/sidecar.go
@@ -1,6 +1,7 @@
 package bed
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -8,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -23,6 +25,8 @@
 	Ports             Ports
 	// Link is the address at which the sidecar reaches the store.
 	Link string
+	// MemoryMB is the memory of the machine in megabytes; zero stands for defaultMemoryMB.
+	MemoryMB int
 
 	dir     string
 	process *exec.Cmd
@@ -30,6 +34,9 @@
 	ended   chan struct{}
 }
 
+// defaultMemoryMB is the memory of a machine whose memory isn't set.
+const defaultMemoryMB = 284
+
 // NewPorts returns ports that are free on an address.
 func NewPorts(ip string) (Ports, error) {
 	var p Ports
@@ -64,7 +71,7 @@
 data_centre = %s
 service = %s
 backend = %s
-memory_mb = 284
+memory_mb = %d
 region = here
 regions = a:here,b:here,c:here,d:here
 max_files = 4100
@@ -87,7 +94,7 @@
 retry_ratio = 0.2
 retry_window = 10s
 retry_slack = 60
-`, m.IP, m.Zone, m.Service, m.AddressOf(m.Ports.App), m.AddressOf(m.Ports.Outbound), m.AddressOf(m.Ports.Inbound), m.AddressOf(m.Ports.Ready),
+`, m.IP, m.Zone, m.Service, m.AddressOf(m.Ports.App), cmp.Or(m.MemoryMB, defaultMemoryMB), m.AddressOf(m.Ports.Outbound), m.AddressOf(m.Ports.Inbound), m.AddressOf(m.Ports.Ready),
 		m.AddressOf(m.Ports.Metrics), m.Link)
 	settings := filepath.Join(m.dir, "settings.ini")
 	if err := os.WriteFile(settings, []byte(text), 0o644); err != nil {
@@ -158,3 +165,15 @@
 	_ = a.Body.Close()
 	return a.StatusCode == http.StatusOK
 }
+
+// PeakBytes returns the largest resident memory of the sidecar since its start; zero if its process has ended.
+func (m *Machine) PeakBytes() int64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.process.Process.Pid))
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
