A further attempt of a request takes another connection to the server

What callers saw: filings that a server ran were answered 503, which promises that they did not run (REFUSED).

Cause: the receiver tells the responses of a connection apart by the request ID, but all attempts of a request have the same one. After a 421 or a 503 with X-Not-Executed the connection is kept. If the next attempt went over it, and the server wrote a second copy of the refusal where that attempt's response was due, the copy was taken for the response.

Hypotheses: the server refuses what it runs; the sender reports the refusal of the first attempt; the receiver reads a copy.

Change: a request of http1 has the ID that its responses repeat, and a connection remembers those of its latest requests. The pool sends a request on a connection that didn't carry its ID. If there is none, the connection that is dialed replaces an idle one, so there are no more of them than before.

Why it works: a copy can only come on the connection of its request, and there every request that may read it has another ID, so it is skipped, as copies of other responses are. Only attempts that meet the same server twice need another connection; a server that refuses many requests still costs none.

TestRefusalClosesConnection sent five requests with one ID, which no two requests have. They have five now; it still wants one connection for all.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID is what the server repeats in its responses to the request; empty if it doesn't. The request isn't sent on a connection that carried one
+	// with the same ID shortly before: a second copy of that one's response could not be told from its own.
+	ID string
 	// BodySent is called once a long body has been sent completely, and is no longer held by the request. It may be nil.
 	BodySent func()
 	// ExpectContinue sends the body only after a 100 Continue (RFC 9110, section 10.1.1), so that no body is sent if the server refuses the request.
@@ -41,6 +45,9 @@
 	sentHead bool
 	// writtenBytes counts the bytes of the current request's head, and of a body that is sent with it.
 	writtenBytes atomic.Int64
+	// recentIDs is a ring of the IDs of the latest requests; sentIDs counts all of them.
+	recentIDs [recentIDCount]string
+	sentIDs   int
 }
 
 // exchange is a request and its response on a connection.
@@ -85,6 +92,8 @@
 	// maxSkippedBytes limits the body of a response to another request that is skipped. A longer one may have no end.
 	maxSkippedBytes = 1 << 20
 	readBufferBytes = 4 << 10
+	// recentIDCount is for how many further requests a connection remembers an ID. A server writes a late response where the next one is expected.
+	recentIDCount = 8
 	// headGrowBytes is the size of most heads that are sent.
 	headGrowBytes = 512
 )
@@ -99,9 +108,22 @@
 	return &Conn{source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
+// carried reports whether one of the latest requests on the connection had an ID. An empty ID identifies none.
+func (c *Conn) carried(id string) bool {
+	return id != "" && slices.Contains(c.recentIDs[:], id)
+}
+
+func (c *Conn) recordID(id string) {
+	if id != "" {
+		c.recentIDs[c.sentIDs%recentIDCount] = id
+		c.sentIDs++
+	}
+}
+
 // do sends a request and reads the head of its response. Reads and writes fail if ctx ends before the end of the body.
 func (c *Conn) do(ctx context.Context, p *Pool, r *Request) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, c.net.abort)
+	c.recordID(r.ID)
 	x := &exchange{conn: c, request: r, awaitingContinue: r.ExpectContinue && len(r.Body) > 0}
 	err := x.send()
 	if err != nil {
@@ -110,6 +132,9 @@
 		return nil, &Error{Sent: !x.awaitingContinue && c.writtenBytes.Load() > 0, Err: err}
 	}
 	a, err := x.receive()
+	if x.skipped {
+		p.onSkip(c.address)
+	}
 	if err != nil {
 		stop()
 		c.close()
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 	dialer net.Dialer
 	now    func() time.Time
 	onDial func(address string)
+	onSkip func(address string)
 
 	mu sync.Mutex
 	// idle holds the idle connections by address; the most recently used one is last.
@@ -55,6 +57,11 @@
 	return func(p *Pool) { p.onDial = f }
 }
 
+// WithOnSkip sets a function that is called after each exchange in which responses to other requests were skipped.
+func WithOnSkip(f func(address string)) PoolOption {
+	return func(p *Pool) { p.onSkip = f }
+}
+
 // WithMaxIdle sets the maximum number of idle connections to all addresses together.
 func WithMaxIdle(n int) PoolOption {
 	return func(p *Pool) { p.maxIdle = n }
@@ -67,7 +74,7 @@
 
 // NewPool returns a pool that reads the time from now.
 func NewPool(now func() time.Time, options ...PoolOption) *Pool {
-	p := &Pool{now: now, idle: map[string][]*Conn{}, onDial: func(string) {}, maxIdleTime: defaultMaxIdleTime}
+	p := &Pool{now: now, idle: map[string][]*Conn{}, onDial: func(string) {}, onSkip: func(string) {}, maxIdleTime: defaultMaxIdleTime}
 	p.dialer = net.Dialer{Timeout: poolDialTimeout, Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
 	for _, o := range options {
@@ -78,7 +85,7 @@
 
 // Do sends a request to an address. It returns an *Error if the request fails. The caller reads the response body to its end or closes it.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*http.Response, error) {
-	c := p.get(address)
+	c := p.get(address, r.ID)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address); err != nil {
@@ -137,27 +144,44 @@
 	}
 }
 
-// get removes and returns the idle connection that was used last, so that surplus connections expire; nil if there is none.
-func (p *Pool) get(address string) *Conn {
+// get removes and returns an idle connection that carried no request with an ID lately; nil if there is none. It is the one that was used last, so
+// that surplus connections expire.
+func (p *Pool) get(address, id string) *Conn {
 	for {
-		p.mu.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mu.Unlock()
+		c, usable := p.take(address, id)
+		if c == nil {
 			return nil
 		}
-		c := list[len(list)-1]
-		list[len(list)-1] = nil
-		p.idle[address] = list[:len(list)-1]
-		p.idleCount--
-		p.mu.Unlock()
-		if p.now().Before(c.usableUntil) && c.reusable() {
+		if usable && p.now().Before(c.usableUntil) && c.reusable() {
 			return c
 		}
 		c.close()
 	}
 }
 
+// take removes and returns the connection that was used last of those that carried no request with an ID lately. If all did, it returns the one
+// used last as not usable: the caller closes it, so that the connection dialed in its place adds none.
+func (p *Pool) take(address, id string) (c *Conn, usable bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil, false
+	}
+	at := len(list) - 1
+	for at >= 0 && list[at].carried(id) {
+		at--
+	}
+	usable = at >= 0
+	if !usable {
+		at = len(list) - 1
+	}
+	c = list[at]
+	p.idle[address] = slices.Delete(list, at, at+1)
+	p.idleCount--
+	return c, usable
+}
+
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/http1/pool_test.go
+++ b/http1/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -37,12 +38,49 @@
 	}
 	done.Wait()
 	is.Equal(len(p.idle[address]), 3)
-	is.True(p.get(address) != nil)
+	is.True(p.get(address, "") != nil)
 	is.Equal(p.idleCount, 2)
 	p.CloseIdle(address)
 	is.Equal(p.idleCount, 0)
 }
 
+// TestRequestIsRepeatedOnConnection guards against a request that is sent on a connection that carried one with the same ID, where a second copy of the
+// first response would pass for the second one, and against more connections than requests in progress for the sake of that.
+func TestRequestIsRepeatedOnConnection(t *testing.T) {
+	is := is.New(t)
+	opened := 0
+	var mu sync.Mutex
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.RemoteAddr) }))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			mu.Lock()
+			defer mu.Unlock()
+			opened++
+		}
+	}
+	s.Start()
+	defer s.Close()
+	address := strings.TrimPrefix(s.URL, "http://")
+	p := NewPool(time.Now)
+	send := func(id string) string {
+		a, err := p.Do(context.Background(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h", ID: id})
+		is.NoErr(err)
+		connection, err := io.ReadAll(a.Body)
+		is.NoErr(err)
+		return string(connection)
+	}
+	first := send("one")
+	is.Equal(send("two"), first)
+	second := send("one")
+	is.True(second != first)
+	is.Equal(send(""), second)
+	is.Equal(send(""), second)
+	is.Equal(len(p.idle[address]), 1)
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(opened, 2)
+}
+
 // TestBodySent guards against a body that is held while the server works on the request, and against one that is given up before it was sent.
 func TestBodySent(t *testing.T) {
 	is := is.New(t)
--- a/inbound/receiver.go
+++ b/inbound/receiver.go
@@ -334,7 +334,8 @@
 	return response
 }
 
-// request returns the HTTP request to the server. Its AcceptsResponse rejects a response with the ID of another request.
+// request returns the HTTP request to the server. Its AcceptsResponse rejects a response with the ID of another request, and its ID keeps a
+// later attempt of the same request off the connection.
 func (r *Receiver) request(f *jaypitch.MeshRequest, now time.Time) *http1.Request {
 	h := f.Header.Clone()
 	if h == nil {
@@ -351,7 +352,7 @@
 		// The request to the server is the last to hold the body.
 		f.Body = nil
 	}
-	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: body, BodySent: f.BodySent, AcceptsResponse: func(got http.Header) bool {
+	return &http1.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: h, Body: body, ID: f.ID, BodySent: f.BodySent, AcceptsResponse: func(got http.Header) bool {
 		id := got.Get(r.names.RequestID)
 		return id == "" || id == f.ID
 	}}
--- a/inbound/stray_test.go
+++ b/inbound/stray_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/schema"
 	"github.com/jaypitch/jaypitch/standin"
 )
 
@@ -36,6 +38,34 @@
 	}
 }
 
+// TestLateCopyAnswersLaterAttempt guards against a second copy of a refusal that is taken for the response to a later attempt of the same request:
+// the server executes that one, so its client must not be told that it was not executed.
+func TestLateCopyAnswersLaterAttempt(t *testing.T) {
+	for name, first := range map[string]struct {
+		behaviour standin.Behaviour
+		server    string
+		code      jaypitch.Code
+	}{
+		"misdirected": {standin.LateCopy, "i-0", jaypitch.CodeMisdirected},
+		"shed":        {standin.LateCopyShedding, "i-1", jaypitch.CodeShed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newFixture(t, 4)
+			g.setServer(&schema.MeshServer{Id: "i-0", Service: "x", Address: g.server.Address(), Slots: 4, Revision: 3})
+			g.server.SetBehaviour(first.behaviour)
+			f := newRequest("one", "")
+			f.ServerID = first.server
+			is.Equal(g.receiver.Serve(context.Background(), f).Code, first.code)
+			g.server.SetBehaviour(standin.LateCopy)
+			r := g.receiver.Serve(context.Background(), newRequest("one", ""))
+			is.Equal(r.Code, jaypitch.CodeOK)
+			times, _ := g.server.Executions("one")
+			is.Equal(times, 1)
+		})
+	}
+}
+
 // TestConnectionWithStrayResponseIsReused guards against a second request on a connection that carried a response to another one: more of
 // them may follow.
 func TestConnectionWithStrayResponseIsReused(t *testing.T) {
@@ -51,9 +81,9 @@
 func TestRefusalClosesConnection(t *testing.T) {
 	is := is.New(t)
 	g := newFixture(t, 4)
-	for _, b := range []standin.Behaviour{standin.Shedding, standin.Normal, standin.Shedding, standin.Shedding, standin.Normal} {
+	for i, b := range []standin.Behaviour{standin.Shedding, standin.Normal, standin.Shedding, standin.Shedding, standin.Normal} {
 		g.server.SetBehaviour(b)
-		r := g.receiver.Serve(context.Background(), newRequest("id", ""))
+		r := g.receiver.Serve(context.Background(), newRequest("id-"+strconv.Itoa(i), ""))
 		is.Equal(r.Execution == jaypitch.NotExecuted, b == standin.Shedding)
 	}
 	is.Equal(g.server.Connections(), 1)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -25,6 +25,7 @@
 	serviceTime        *prometheus.HistogramVec
 	undecodableEntries prometheus.Counter
 	serverConnections  prometheus.Counter
+	serverStrays       prometheus.Counter
 	serverRequests     *prometheus.CounterVec
 	brokenStreams      prometheus.Counter
 	received           *prometheus.CounterVec
@@ -46,13 +47,14 @@
 		serviceTime:        prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "server_seconds", Help: "Time at the backend server (service time), by rank.", Buckets: histogramBuckets}, []string{"rank"}),
 		undecodableEntries: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "entries_refused_total", Help: "Entries of the store that can't be decoded."}),
 		serverConnections:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "server_connections_total", Help: "New connections to the backend server."}),
+		serverStrays:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "server_strays_total", Help: "Requests to the backend server whose response came after a response to another request, which was skipped."}),
 		coldStarts:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "server_cold_total", Help: "Times that the backend server began to count as cold, so that requests to it are paced."}),
 		restores:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_restores_total", Help: "Times that the store came back from a copy, as the rise of its era shows."}),
 		serverRequests:     prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_requests_total", Help: "Requests sent to the backend server, by whether it named a rate limit then."}, []string{"limited"}),
 	}
 	m.brokenStreams = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "streams_broken_off_total", Help: "Streamed responses that were broken off before their end, by the client, by a server, or for a client that read nothing."})
 	m.received = newReceivedCounter()
-	m.registry.MustRegister(m.received, m.brokenStreams, m.coldStarts, m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections)
+	m.registry.MustRegister(m.received, m.brokenStreams, m.coldStarts, m.restores, m.serverRequests, m.requests, m.attempts, m.overhead, m.queueTime, m.serviceTime, m.undecodableEntries, m.serverConnections, m.serverStrays)
 	m.registry.MustRegister(newEvacuationCollector(c))
 	gauge := func(name, help string, f func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
@@ -104,6 +106,11 @@
 	m.serverConnections.Inc()
 }
 
+// recordStray records a request to the backend server before whose response one to another request came.
+func (m *metrics) recordStray(string) {
+	m.serverStrays.Inc()
+}
+
 // recordUndecodable records an entry of the store that can't be decoded.
 func (c *Sidecar) recordUndecodable(e *jaypitch.Error) {
 	c.metrics.undecodableEntries.Inc()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -129,7 +129,7 @@
 	if err := c.setLink(s); err != nil {
 		return nil, err
 	}
-	c.backendPool = http1.NewPool(c.now, http1.WithOnDial(c.metrics.recordConnection))
+	c.backendPool = http1.NewPool(c.now, http1.WithOnDial(c.metrics.recordConnection), http1.WithOnSkip(c.metrics.recordStray))
 	// Receivers identify this sidecar by the local address, to poll it for newer revisions.
 	c.peerPool = http1.NewPool(c.now, http1.WithLocalIP(listen.Addr()), http1.WithMaxIdle(c.memory.maxIdle()))
 	c.receiver = inbound.NewReceiver(s.GetSidecar().GetBackend(), p.HeaderNames, c.replica, c.confirmation.age, c.backendPool, c.now, c.recordReceived,
--- a/standin/mesh_server.go
+++ b/standin/mesh_server.go
@@ -63,6 +63,14 @@
 type meshServerConn struct {
 	server *MeshServer
 	conn   net.Conn
+	// late is the second copy of the response before, which is written ahead of the next one; nil if there is none.
+	late []byte
+}
+
+// recordingConn records what is written to a connection.
+type recordingConn struct {
+	net.Conn
+	written []byte
 }
 
 const (
@@ -70,6 +78,10 @@
 	Normal Behaviour = ""
 	// Extra sends every response twice.
 	Extra Behaviour = "extra"
+	// LateCopy sends every response once more ahead of the next response on the connection.
+	LateCopy Behaviour = "late_copy"
+	// LateCopyShedding is LateCopy with refusals like those of Shedding.
+	LateCopyShedding Behaviour = "late_copy_sheds"
 	// Large sends complete responses of LargeBytes.
 	Large Behaviour = "large"
 	// Unframed sends responses without Content-Length, which end when the connection closes.
@@ -273,12 +285,34 @@
 		if err != nil {
 			return
 		}
-		if !c.server.respond(c.conn, in, r) {
+		if !c.respond(in, r) {
 			return
 		}
 	}
 }
 
+// respond serves one request, after the late copy of the response before. It reports whether the connection can stay open.
+func (c *meshServerConn) respond(in *bufio.Reader, r *http.Request) bool {
+	if _, err := c.conn.Write(c.late); err != nil {
+		return false
+	}
+	out := &recordingConn{Conn: c.conn}
+	stays := c.server.respond(out, in, r)
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.late = nil
+	if c.server.behaviour == LateCopy || c.server.behaviour == LateCopyShedding {
+		c.late = out.written
+	}
+	return stays
+}
+
+// Write writes to the connection and keeps a copy.
+func (c *recordingConn) Write(p []byte) (int, error) {
+	c.written = append(c.written, p...)
+	return c.Conn.Write(p)
+}
+
 // respond serves one request. It reports whether the connection can stay open.
 func (s *MeshServer) respond(w net.Conn, in *bufio.Reader, r *http.Request) bool {
 	if is, stays := s.respondHealth(w, r); is {
@@ -304,7 +338,7 @@
 		s.observe(Arrival{At: time.Now(), ID: attemptID, Outcome: Misdirected})
 		fmt.Fprintf(w, "HTTP/1.1 421 Misdirected Request\r\n%sX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", notice, attemptID, id)
 		return true
-	case full || b == Shedding:
+	case full || b == Shedding || b == LateCopyShedding:
 		s.observe(Arrival{At: time.Now(), ID: attemptID, Outcome: Refused})
 		fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\n%sX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", notice, attemptID)
 		return true
