A question for the cold time skips responses to requests

A receiver that asks its server how long it stays cold took a late copy of an earlier response on the connection for the answer. That says nothing of a cold time, so the server counted as warm and got requests at full rate.

Cause: the question accepted any response, and those to requests have an ID.

Change: it accepts only a response without an ID, as the health path sends.

Evidence: the new case of TestColdServerIsFlooded, a late copy ahead of the answer, failed before (no cold time in place of 3 s) and passes.

Why it works: servers repeat the ID of every request, and the question has none.

--- a/inbound/cold.go
+++ b/inbound/cold.go
@@ -196,7 +196,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), coldProbeTimeout)
 	defer cancel()
 	sentAt := r.now()
-	a, err := r.pool.Do(ctx, r.address, &http1.Request{Method: http.MethodGet, Target: p.path, Host: r.address})
+	a, err := r.pool.Do(ctx, r.address, &http1.Request{Method: http.MethodGet, Target: p.path, Host: r.address, AcceptsResponse: func(got http.Header) bool {
+		// One with an ID is a late response to a request that the connection carried before.
+		return got.Get(r.names.RequestID) == ""
+	}})
 	if err != nil {
 		r.observeFailure(ctx, err)
 	} else {
--- a/inbound/cold_test.go
+++ b/inbound/cold_test.go
@@ -153,6 +153,18 @@
 		g.restart()
 		is.Equal(g.serveFor(time.Second), 50)
 	})
+	t.Run("a late copy of a response ahead of the one that says for how long", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdFixture(t, coldRate, 0)
+		g.server.SetBehaviour(standin.LateCopy)
+		is.Equal(g.serve().Code, jaypitch.CodeOK)
+		g.server.ServeHealth(healthPath, coldTime)
+		g.advance(2 * time.Second)
+		g.receiver.DoubtCold()
+		g.awaitProbe()
+		is.Equal(g.server.HealthRequests(), 2)
+		is.Equal(g.receiver.Cold(), g.now().Add(coldTime))
+	})
 	t.Run("a server that restarts", func(t *testing.T) {
 		is := is.New(t)
 		g := newColdFixture(t, coldRate, 0)
