A node closes the connection of a request that its server shed

A second copy of a shed response, written where the next response is due, was taken for that: the server executes the request, and the node reports that it did not, or sends it to another host, so that it runs twice.

Cause: the connection was used again, and nothing in a response of these servers names its request, so that a copy can't be skipped.

Change: the node cancels the request of a shed response before it closes the body, which closes the connection.

Evidence: TestLateCopyOfRefusal failed before (code 118, shed, in place of 0) and passes.

Why it works: a copy comes on the connection of its request only. Copies of other responses still can't be told there; the protocol has nothing for that.

--- a/backend/receiver.go
+++ b/backend/receiver.go
@@ -278,8 +278,9 @@
 		r.node.BackendDraining()
 	}
 	if httpResponse.StatusCode == http.StatusServiceUnavailable && httpResponse.Header.Get(jaypitch.HeaderShed) != "" {
-		httpResponse.Body.Close()
+		// The connection is closed: nothing in a response identifies its request, so a second copy of this one would pass for the response to the next.
 		cancel()
+		httpResponse.Body.Close()
 		s.release(admit.Shed)
 		return jaypitch.NewRefusal(jaypitch.CodeShed, "the backend server shed the request")
 	}
