An outage of the store ends with the first response to any sidecar

Cause: a sidecar took the outage from its own first failure to its own next response. A watch that was lost while the store was silent held it up for as long as 5 s after the store was back. If the next one brought a removal, the sidecar kept the server for 2 s from then on, as if its entry had expired in the outage, and took it out of use at a tick up to 0.25 s later.

Hypotheses: the removal reaches sidecars late; the sidecar beside the server doesn't check; it keeps the server. The logs told them apart: "store regained" and "server ... gone" came 0.05 ms apart on the sidecar beside the server, while five others had regained the store 0.7 to 0.9 s earlier.

Change: - An outage is the time between two responses of the store to any sidecar, as confirmations tell.

Why it works: the store counts as stable 3 s after its return, the end of the outage is known before, and 2 s after that is earlier than 2 s after a removal.

Evidence: TestRemovalAfterOutage, TestEntryExpiredInOutage and TestSilentStoreHoldsRequests failed before.

TestEntryExpiredInOutage is the other side of it: a short outage that was noticed near its end counted as none, and live servers were out of use.

--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -255,6 +255,28 @@
 	return ended
 }
 
+// NextExpiry returns when Expire next changes which servers are in use or which data centres are evacuated; zero if no such time is set.
+func (s *Replica) NextExpiry() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var next time.Time
+	observe := func(at time.Time) {
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	for _, e := range s.servers {
+		observe(e.usableUntil)
+		if e.copied != nil {
+			observe(e.copiedUntil)
+		}
+	}
+	for _, e := range s.evacuations {
+		observe(e.heldUntil)
+	}
+	return next
+}
+
 // ChangesSince returns the changes after a position for a sidecar that has a version of the configuration. The response is the full
 // state if the revision is zero or of an earlier era, or if tombstones since then were deleted.
 func (s *Replica) ChangesSince(p jaypitch.Position, version int64) *schema.HeldResponse {
--- a/sidecar/confirmation.go
+++ b/sidecar/confirmation.go
@@ -13,10 +13,21 @@
 
 	mu sync.Mutex
 	at time.Time
+	// respondedAt is the latest time at which the store is known to have responded, to this sidecar or to another one; zero if it never did.
+	respondedAt time.Time
+	// regainedAt is the first such time after the latest long outage; zero if there was none.
+	regainedAt time.Time
 }
 
-// unknownAge is the age that a process reports if its replica was never confirmed.
-const unknownAge = time.Hour
+const (
+	// unknownAge is the age that a process reports if its replica was never confirmed.
+	unknownAge = time.Hour
+	// longOutage is the duration of an outage of the store after which entries of live servers may have expired. It is half the
+	// time of three heartbeats.
+	longOutage = 2 * time.Second
+	// relistTime is the time after an outage within which live servers are listed again.
+	relistTime = 2 * time.Second
+)
 
 // reportedAge returns an upper bound of the time since the store confirmed the receiver's replica. The receiver measured it when it responded, and
 // the network time bounds the time since then. Without that, an age that sidecars report to each other would grow slower than time passes.
@@ -31,6 +42,44 @@
 	if at.After(c.at) {
 		c.at = at
 	}
+	c.extendResponses(at, at)
+}
+
+// recordResponse records that the store accepted a request at a time and responded at another.
+func (c *confirmation) recordResponse(requestedAt, respondedAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.extendResponses(requestedAt, respondedAt)
+}
+
+// extendResponses records that the store was there from one time until another. The caller holds the lock.
+func (c *confirmation) extendResponses(from, until time.Time) {
+	if !c.respondedAt.IsZero() && from.Sub(c.respondedAt) > longOutage {
+		c.regainedAt = from
+	}
+	if until.After(c.respondedAt) {
+		c.respondedAt = until
+	}
+}
+
+// skipPause records that this process resumed from a pause. The time without a response before is no outage of the store.
+func (c *confirmation) skipPause(resumedAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.respondedAt.IsZero() && resumedAt.After(c.respondedAt) {
+		c.respondedAt = resumedAt
+	}
+}
+
+// relistedBy returns the time by which live servers whose entries expired in the latest outage are listed again; zero if there was no long outage.
+// It counts from the first response to any sidecar, since this one may notice the end of the outage seconds later.
+func (c *confirmation) relistedBy() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.regainedAt.IsZero() {
+		return time.Time{}
+	}
+	return c.regainedAt.Add(relistTime)
 }
 
 // age returns the time since the replica was last confirmed, or unknownAge if it never was.
--- a/sidecar/loops.go
+++ b/sidecar/loops.go
@@ -32,11 +32,12 @@
 	c := t.sidecar
 	t.last = sinceBoot()
 	for ctx.Err() == nil {
-		_ = jaypitch.Sleep(ctx, tickInterval)
+		_ = jaypitch.Sleep(ctx, t.untilNext())
 		now := sinceBoot()
 		if now-t.last > minPause {
 			resumedAt := c.now()
 			c.unconfirmedSince.Store(&resumedAt)
+			c.confirmation.skipPause(resumedAt)
 			c.log.Warn("paused", zap.Duration("for", now-t.last))
 			c.receiver.DoubtCold()
 			c.watcher.resync()
@@ -54,6 +55,15 @@
 	}
 }
 
+// untilNext returns the time until the next tick. A server that stays in use until a time gets no requests after it, so no tick is later than that.
+func (t *ticker) untilNext() time.Duration {
+	c := t.sidecar
+	if at := c.replica.NextExpiry(); !at.IsZero() {
+		return min(tickInterval, max(0, at.Sub(c.now())))
+	}
+	return tickInterval
+}
+
 // endUnconfirmed ends the unconfirmed state after a pause, once the replica has been confirmed since then or confirmTimeout is over.
 func (t *ticker) endUnconfirmed() {
 	c := t.sidecar
--- /dev/null
+++ b/sidecar/outage_test.go
@@ -0,0 +1,289 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/platform"
+	"github.com/jaypitch/jaypitch/schema"
+	"github.com/jaypitch/jaypitch/settings"
+)
+
+// silentStore is a store that responds to nothing while it is silent, nor to a request that was in progress then.
+type silentStore struct {
+	mu       sync.Mutex
+	revision int64
+	servers  map[string]*schema.MeshServer
+	silent   bool
+	silences int
+	// waiting is the number of watches that wait and will be responded to.
+	waiting int
+}
+
+// outage is a sidecar with a silentStore. Servers live and removed are listed before the store becomes silent.
+type outage struct {
+	store   *silentStore
+	sidecar *Sidecar
+	// heard is true if another sidecar tells that the store has confirmed the replica.
+	heard bool
+}
+
+const (
+	silentTime = 4500 * time.Millisecond
+	// silentTimeout is how long a request to a silent store takes, in addition to its wait. It is that of platform.Client.
+	silentTimeout = time.Second
+	// drainTime is how long after its removal a server may get requests.
+	drainTime = 2 * time.Second
+	storeTick = time.Millisecond
+)
+
+var errSilent = errors.New("the store is silent")
+
+func (s *silentStore) put(v *schema.MeshServer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	v.Revision = s.revision
+	s.servers[v.GetId()] = v
+}
+
+// list writes the entry of a server; remove replaces it by a tombstone.
+func (s *silentStore) list(id string) {
+	s.put(&schema.MeshServer{Id: id, Service: "x", Address: "10.0.0." + id + ":80", DataCentre: "z", Slots: 1})
+}
+
+func (s *silentStore) remove(id string) {
+	s.put(&schema.MeshServer{Id: id, Gone: true})
+}
+
+func (s *silentStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	if silent {
+		s.silences++
+	}
+}
+
+func (s *silentStore) watches() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting
+}
+
+// count adds to the number of waiting watches.
+func (s *silentStore) count(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting += n
+}
+
+// accept reports whether the store isn't silent, and how often it was.
+func (s *silentStore) accept() (bool, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.silent, s.silences
+}
+
+// changes returns the entries after a revision.
+func (s *silentStore) changes(after int64) jaypitch.MeshUpdate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := jaypitch.MeshUpdate{Revision: s.revision}
+	for _, v := range s.servers {
+		if v.GetRevision() > after {
+			u.Servers = append(u.Servers, v)
+		}
+	}
+	return u
+}
+
+// Read implements jaypitch.MeshSource.
+func (s *silentStore) Read(ctx context.Context, _ func(jaypitch.MeshUpdate) bool) (jaypitch.MeshUpdate, error) {
+	if open, _ := s.accept(); !open {
+		_ = jaypitch.Sleep(ctx, silentTimeout)
+		return jaypitch.MeshUpdate{}, errSilent
+	}
+	u := s.changes(0)
+	u.Full = true
+	return u, nil
+}
+
+// Watch implements jaypitch.MeshSource.
+func (s *silentStore) Watch(ctx context.Context, after int64, deadline time.Time) (jaypitch.MeshUpdate, error) {
+	open, silences := s.accept()
+	if open {
+		s.count(1)
+	}
+	lost := !open
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		u := s.changes(after)
+		if now, n := s.accept(); !lost && (!now || n != silences) {
+			lost = true
+			s.count(-1)
+		}
+		if !lost && len(u.Servers) > 0 {
+			s.count(-1)
+			return u, nil
+		}
+		_ = jaypitch.Sleep(ctx, storeTick)
+	}
+	if lost {
+		_ = jaypitch.Sleep(ctx, silentTimeout)
+		return jaypitch.MeshUpdate{}, errSilent
+	}
+	s.count(-1)
+	return s.changes(after), ctx.Err()
+}
+
+// run plays a test in virtual time, with a sidecar that watches the store.
+func (o *outage) run(t *testing.T, play func(t *testing.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		o.store = &silentStore{revision: 10, servers: map[string]*schema.MeshServer{}}
+		o.store.list("1")
+		o.store.list("2")
+		text := "[sidecar]\nhost = a\ndata_centre = z\nservice = x\nbackend = 10.0.0.1:80\n[listen]\ncallers = 127.0.0.1:1\npeers = 127.0.0.1:2\nready = 127.0.0.1:3\nmetrics = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:5\n"
+		s, problems := settings.ParseSidecar("test", []byte(text))
+		is.New(t).Equal(len(problems), 0)
+		source := func(string, func() time.Time, func(*jaypitch.Error)) jaypitch.MeshSource { return o.store }
+		c, err := New(s, func() (*schema.SidecarSettings, error) { return nil, nil }, Platform{HeaderNames: platform.HeaderNames, NewSource: source, DecodeNotice: platform.DecodeNotice},
+			zap.NewNop(), func() int64 { return 0 })
+		is.New(t).NoErr(err)
+		o.sidecar = c
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go c.watcher.run(ctx)
+		go (&ticker{sidecar: c}).run(ctx)
+		time.Sleep(4 * time.Second)
+		o.assertInUse(t, "1", "2")
+		play(t)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// silence makes the store silent for a time, which begins while a watch waits.
+func (o *outage) silence(d time.Duration) {
+	o.awaitWatch()
+	o.store.setSilent(true)
+	time.Sleep(d)
+	o.store.setSilent(false)
+}
+
+// awaitWatch waits until the store has a watch of the sidecar that it will respond to.
+func (o *outage) awaitWatch() {
+	for o.store.watches() == 0 {
+		o.hear()
+		time.Sleep(storeTick)
+	}
+	time.Sleep(10 * time.Millisecond)
+}
+
+// hear passes on what another sidecar tells, if one does.
+func (o *outage) hear() {
+	if o.heard {
+		o.sidecar.peerPoller.recordPosition("peer", o.sidecar.replica.Position(), 0)
+	}
+}
+
+func (o *outage) assertInUse(t *testing.T, want ...string) {
+	t.Helper()
+	synctest.Wait()
+	is.New(t).Equal(slices.Sorted(maps.Keys(o.sidecar.replica.Table().Servers)), want)
+}
+
+// TestRemovalAfterOutage guards against requests to a removed server later than drainTime, since an outage of the store counts as lasting until this
+// sidecar notices its end.
+func TestRemovalAfterOutage(t *testing.T) {
+	for name, heard := range map[string]bool{"no other sidecar has heard the store": false, "another sidecar has heard the store": true} {
+		t.Run(name, func(t *testing.T) {
+			o := &outage{}
+			o.run(t, func(t *testing.T) {
+				o.silence(silentTime)
+				o.heard = heard
+				for range 30 {
+					time.Sleep(100 * time.Millisecond)
+					o.hear()
+				}
+				o.awaitWatch()
+				o.store.remove("2")
+				if heard {
+					time.Sleep(10 * time.Millisecond)
+					o.assertInUse(t, "1")
+				}
+				time.Sleep(drainTime)
+				o.assertInUse(t, "1")
+			})
+		})
+	}
+}
+
+// TestRemovalAfterAnyOutage is TestRemovalAfterOutage for a sidecar that hears of the store from no other: it has to notice the end of an outage before
+// the store counts as stable again, whatever request was lost.
+func TestRemovalAfterAnyOutage(t *testing.T) {
+	const stableTime = 3 * time.Second
+	for d := 2 * time.Second; d < 12*time.Second; d += 270 * time.Millisecond {
+		t.Run(d.String(), func(t *testing.T) {
+			o := &outage{}
+			o.run(t, func(t *testing.T) {
+				o.silence(d)
+				time.Sleep(stableTime)
+				o.store.remove("2")
+				time.Sleep(drainTime)
+				o.assertInUse(t, "1")
+			})
+		})
+	}
+}
+
+// TestEntryExpiredInOutage guards against a live server that is out of use after an outage of the store, though it writes its entry again in time: the
+// outage is as long as it was, also if this sidecar noticed only its end.
+func TestEntryExpiredInOutage(t *testing.T) {
+	for name, d := range map[string]time.Duration{"noticed near its end": 2300 * time.Millisecond, "noticed before its end": 8 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			o := &outage{}
+			o.run(t, func(t *testing.T) {
+				o.awaitWatch()
+				o.store.setSilent(true)
+				time.Sleep(d - time.Second)
+				o.store.remove("2")
+				time.Sleep(time.Second)
+				o.store.setSilent(false)
+				for o.sidecar.replica.Revision() < o.store.changes(0).Revision {
+					o.assertInUse(t, "1", "2")
+					time.Sleep(storeTick)
+				}
+				time.Sleep(time.Second)
+				o.assertInUse(t, "1", "2")
+				o.store.list("2")
+				time.Sleep(3 * time.Second)
+				o.assertInUse(t, "1", "2")
+			})
+		})
+	}
+}
+
+// TestPauseIsNoOutage guards against removed servers that stay in use after a pause of the process, as if the store had been down.
+func TestPauseIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := &confirmation{now: func() time.Time { return now }}
+	c.confirm(now)
+	now = now.Add(10 * time.Second)
+	c.skipPause(now)
+	c.confirm(now.Add(time.Millisecond))
+	is.True(c.relistedBy().IsZero())
+	regained := now.Add(longOutage + 2*time.Millisecond)
+	c.confirm(regained)
+	is.Equal(c.relistedBy(), regained.Add(relistTime))
+}
--- a/sidecar/peer_poller.go
+++ b/sidecar/peer_poller.go
@@ -216,9 +216,14 @@
 	if u.Revision == 0 || !c.replica.Comparable(u.Position()) || u.Position().Compare(c.replica.Position()) < 0 {
 		return
 	}
+	confirmedAt := requestedAt.Add(-micros(m.GetSourceAgeUs()))
+	confirmed := m.GetSourceAgeUs() < unknownAge.Microseconds()
+	if confirmed {
+		c.confirmation.recordResponse(confirmedAt, confirmedAt)
+	}
 	c.merge(u, address)
-	if m.GetSourceAgeUs() < unknownAge.Microseconds() {
-		c.confirmation.confirm(requestedAt.Add(-micros(m.GetSourceAgeUs())))
+	if confirmed {
+		c.confirmation.confirm(confirmedAt)
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -223,6 +223,9 @@
 // merge merges an update into the replica, logs what changed and returns it.
 func (c *Sidecar) merge(u jaypitch.MeshUpdate, from string) mesh.Change {
 	before := c.replica.Position()
+	if !c.unconfirmed() {
+		u.KeepMissingUntil = c.confirmation.relistedBy()
+	}
 	change := c.replica.Merge(u, c.now())
 	if change.Restored {
 		c.metrics.restores.Inc()
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -61,9 +61,6 @@
 	roleCheckInterval = 500 * time.Millisecond
 	minRetryDelay     = 100 * time.Millisecond
 	maxRetryDelay     = time.Second
-	// longOutage is the duration of an outage of the store after which entries of live servers may have expired. It is half the
-	// time of three heartbeats.
-	longOutage = 2 * time.Second
 	// startDelay is how long a sidecar without seeds waits before it reads the store: it starts together with the whole mesh, whose servers need
 	// about a second to register. Earlier reads would have to be repeated. It leaves time to be ready within two seconds.
 	startDelay = 1500 * time.Millisecond
@@ -73,8 +70,6 @@
 	maxPeersTime = 1500 * time.Millisecond
 	// peersCheckInterval is how often it checks whether they did.
 	peersCheckInterval = 20 * time.Millisecond
-	// relistTime is the time within which live servers are listed again after an outage.
-	relistTime = 2 * time.Second
 )
 
 // run reads the full content of the store, or gets it from other sidecars after the first page, then watches for changes: all the time as a reader,
@@ -93,7 +88,8 @@
 			continue
 		}
 		before := w.position()
-		err := w.fetch(ctx, full, allPages, reader && !resync)
+		// After a failure the watch doesn't wait either: its response shows that the store is back.
+		err := w.fetch(ctx, full, allPages, reader && !resync && !w.failing())
 		if ctx.Err() != nil {
 			return
 		}
@@ -214,7 +210,8 @@
 	if !full && u.Era.Differs(held.Era) {
 		return jaypitch.ErrRestored
 	}
-	u.KeepMissingUntil = w.recordSuccess()
+	w.recordSuccess()
+	w.confirmation.recordResponse(requestedAt, confirmedAt)
 	w.merge(u, fromStore)
 	if full && !u.Full {
 		return errFirstPage
@@ -223,21 +220,21 @@
 	return nil
 }
 
-// recordSuccess records a response of the store. It returns the time until which servers that were removed during an outage
-// stay in use; zero if there was no long outage.
-func (w *watcher) recordSuccess() time.Time {
+// recordSuccess records a response of the store.
+func (w *watcher) recordSuccess() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.now()
-	var until time.Time
 	if !w.failingSince.IsZero() {
-		w.log.Info("store regained", zap.Duration("after", now.Sub(w.failingSince)), zap.Int("failures", w.failures))
-		if now.Sub(w.failingSince) > longOutage {
-			until = now.Add(relistTime)
-		}
+		w.log.Info("store regained", zap.Duration("after", w.now().Sub(w.failingSince)), zap.Int("failures", w.failures))
 	}
 	w.failingSince, w.failures = time.Time{}, 0
-	return until
+}
+
+// failing reports whether the latest request to the store failed.
+func (w *watcher) failing() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.failingSince.IsZero()
 }
 
 // failureCount returns the number of consecutive failures of the store.
