Times after a restore count from when the store held the copy

A sidecar that learns late that the store came back from a copy kept a server that the copy lacks for 2 s from then on, requests to a removed server among them, used a copied entry up to that much later than others, and held an evacuation longer.

Cause: the replica took the time of its own notice as that of the restore.

Change: an update says at which time the store is known to have held its content: that of the request, or of the other sidecar's confirmation. The times after a restore count from then. A confirmation that is no later than what this sidecar knew before says nothing about the restore: the other one answered before it had recorded the response that brought it.

Evidence: TestLateNoticeOfRestore failed in all four cases before and passes.

Why it works: the store held the copy then, so the restore was no later, and sidecars that learn of it at different times count from nearly the same one.

--- a/mesh/evacuation.go
+++ b/mesh/evacuation.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		if restored {
-			e.heldUntil = now.Add(evacuationHold)
+			e.heldUntil = s.restoredAt.Add(evacuationHold)
 		}
 		if now.Before(e.heldUntil) {
 			continue
--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -38,6 +38,8 @@
 	published atomic.Pointer[jaypitch.Position]
 	// restored is true once an update was of a later era than the replica. Positions of unknown era can't be compared then.
 	restored atomic.Bool
+	// restoredAt is when the store had come back from a copy, as far as is known, at the latest restore; zero before the first one.
+	restoredAt time.Time
 }
 
 // serverEntry is a backend server, or the tombstone of a removed one.
@@ -79,7 +81,7 @@
 	// tombstoneLifetime is how long the tombstone of a removed server is kept. It is longer than any disconnection after which a sidecar
 	// still requests changes instead of the full state.
 	tombstoneLifetime = 5 * time.Minute
-	// relistTime is the time within which live servers write their entries again after a restore of the store.
+	// relistTime is the time after a restore of the store within which live servers write their entries again.
 	relistTime = 2 * time.Second
 	// copyExpiry is the time after a restore within which the store removes the copied entry of a server that is gone: three heartbeats
 	// of a few seconds.
@@ -134,7 +136,7 @@
 		u.Servers, u.Evacuations, u.Full, u.Revision = nil, nil, false, 0
 	}
 	if c.Restored {
-		u.KeepMissingUntil = now.Add(relistTime)
+		u.KeepMissingUntil = s.restoredAt.Add(relistTime)
 	}
 	c.Evacuations = s.mergeEvacuations(u, c.Restored, now)
 	for _, v := range u.Servers {
@@ -170,6 +172,10 @@
 	}
 	s.position = jaypitch.Position{Era: u.Era}
 	s.restored.Store(true)
+	s.restoredAt = now
+	if !u.RespondedAt.IsZero() {
+		s.restoredAt = u.RespondedAt
+	}
 	s.removalsKnownAfter = 0
 	s.beginEvacuationEra(now)
 	for _, e := range s.servers {
@@ -369,7 +375,7 @@
 	if e.isOlderCopy(v) {
 		e.server = proto.CloneOf(before)
 		e.server.Revision = v.GetRevision()
-		e.copied, e.copiedUntil = v, now.Add(copyExpiry)
+		e.copied, e.copiedUntil = v, s.restoredAt.Add(copyExpiry)
 		return false
 	}
 	e.server = v
--- a/mesh/replica_test.go
+++ b/mesh/replica_test.go
@@ -302,13 +302,19 @@
 // restoredReplica returns a replica that read the store at revision 100 in era 1: server 1 is ready, 2 draining, 3 removed and 4 new since revision 50.
 // Then the store came back in era 2 from its copy of revision 50, and the replica read it again.
 func restoredReplica(t *testing.T) *Replica {
+	t.Helper()
+	return replicaRestoredAt(t, time.Time{})
+}
+
+// replicaRestoredAt is restoredReplica with a time at which the store is known to have held the copy.
+func replicaRestoredAt(t *testing.T, respondedAt time.Time) *Replica {
 	t.Helper()
 	s := NewReplica()
 	s.Merge(jaypitch.MeshUpdate{Revision: 50, Era: era(1), Full: true, Config: config(3, "/a/"),
 		Servers: []*schema.MeshServer{reported("1", 1, 10, false), reported("2", 1, 20, false), reported("3", 1, 30, false)}}, now)
 	s.Merge(jaypitch.MeshUpdate{Revision: 100, Era: era(1), Config: config(4, "/b/"),
 		Servers: []*schema.MeshServer{reported("2", 5, 70, true), tombstone("3", 80), reported("4", 1, 90, false)}}, now)
-	c := s.Merge(jaypitch.MeshUpdate{Revision: 50, Era: era(2), Full: true, Config: config(3, "/a/"),
+	c := s.Merge(jaypitch.MeshUpdate{Revision: 50, Era: era(2), Full: true, RespondedAt: respondedAt, Config: config(3, "/a/"),
 		Servers: []*schema.MeshServer{reported("1", 1, 10, false), reported("2", 1, 20, false), reported("3", 1, 30, false)}}, now)
 	if !c.Restored || s.Position() != (jaypitch.Position{Era: era(2), Revision: 50}) {
 		t.Fatalf("position %v after a restore", s.Position())
@@ -356,6 +362,37 @@
 	})
 }
 
+// TestLateNoticeOfRestore guards against times after a restore that count from when this sidecar noticed it: what the store's copy lacks is removed by
+// then, and what it still has is there.
+func TestLateNoticeOfRestore(t *testing.T) {
+	t.Run("a server that the copy lacks is in use only as long after the restore as others are", func(t *testing.T) {
+		s := replicaRestoredAt(t, now.Add(-relistTime+time.Second))
+		assertInUse(t, s, "1", "4")
+		is.New(t).Equal(s.NextExpiry(), now.Add(time.Second))
+		s.Expire(now.Add(time.Second))
+		assertInUse(t, s, "1")
+	})
+	t.Run("it isn't in use if that time is over", func(t *testing.T) {
+		assertInUse(t, replicaRestoredAt(t, now.Add(-relistTime)), "1")
+	})
+	t.Run("an entry of the copy applies when it does elsewhere", func(t *testing.T) {
+		s := replicaRestoredAt(t, now.Add(-copyExpiry+time.Second))
+		s.Expire(now.Add(time.Second))
+		assertInUse(t, s, "1", "2", "3")
+	})
+	t.Run("an evacuation that the copy lacks ends when it does elsewhere", func(t *testing.T) {
+		is := is.New(t)
+		s := NewReplica()
+		s.Merge(full(1, 90, evacuate(80)), now)
+		u := full(2, 50)
+		u.RespondedAt = now.Add(-evacuationHold + time.Second)
+		s.Merge(u, now)
+		is.True(s.Table().Evacuated("z"))
+		s.Expire(now.Add(time.Second))
+		is.True(!s.Table().Evacuated("z"))
+	})
+}
+
 // TestRestoreReachesPeers guards against sidecars that take a higher revision of an earlier era for newer.
 func TestRestoreReachesPeers(t *testing.T) {
 	before := func() *Replica {
--- a/sidecar/confirmation.go
+++ b/sidecar/confirmation.go
@@ -52,6 +52,15 @@
 	c.extendResponses(requestedAt, respondedAt)
 }
 
+// recordPeerResponse records that the store responded to another sidecar at a time. It reports whether that is later than all responses known before.
+func (c *confirmation) recordPeerResponse(at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	later := at.After(c.respondedAt)
+	c.extendResponses(at, at)
+	return later
+}
+
 // extendResponses records that the store was there from one time until another. The caller holds the lock.
 func (c *confirmation) extendResponses(from, until time.Time) {
 	if !c.respondedAt.IsZero() && from.Sub(c.respondedAt) > longOutage {
--- a/sidecar/peer_poller.go
+++ b/sidecar/peer_poller.go
@@ -218,8 +218,9 @@
 	}
 	confirmedAt := requestedAt.Add(-micros(m.GetSourceAgeUs()))
 	confirmed := m.GetSourceAgeUs() < unknownAge.Microseconds()
-	if confirmed {
-		c.confirmation.recordResponse(confirmedAt, confirmedAt)
+	// An earlier time is that of a confirmation before the changes: the peer hasn't yet recorded the response of the store that brought them.
+	if confirmed && c.confirmation.recordPeerResponse(confirmedAt) {
+		u.RespondedAt = confirmedAt
 	}
 	c.merge(u, address)
 	if confirmed {
