A sidecar counts the store as down no longer than others do

A sidecar that doesn't watch the store counts its failures in an outage, and asks seldom while it counts two. It went on counting them until its own next request, for which it has no reason while others confirm its replica. When confirmations stopped later, as when all that watch the store are lost, it asked as seldom as in an outage, and changes reached it late.

Cause: the end of an outage was taken from this sidecar's own next response.

Change: the failures don't count for this if the store has confirmed the replica since the request was sent that failed last, here or to another sidecar.

Evidence: TestOutageCountsUntilNextRequest failed before (2 in place of 0) and passes.

Why it works: confirmations carry the time of the store's response, so one from before the failure doesn't end the outage.

--- a/sidecar/peer_poller.go
+++ b/sidecar/peer_poller.go
@@ -147,7 +147,7 @@
 		go p.round.run()
 	}
 	p.round.await()
-	if c.confirmation.age() > staleAge && rand.Float64()*float64(c.replica.Table().HostCount()) < storeRequesters(c.watcher.failureCount()) {
+	if c.confirmation.age() > staleAge && rand.Float64()*float64(c.replica.Table().HostCount()) < storeRequesters(c.watcher.outageFailureCount()) {
 		c.watcher.trigger()
 	}
 }
--- a/sidecar/peer_poller_test.go
+++ b/sidecar/peer_poller_test.go
@@ -22,6 +22,24 @@
 	is.Equal(storeRequesters(outageFailures), float64(expectedStoreRequestersInOutage))
 }
 
+// TestOutageCountsUntilNextRequest guards against a sidecar that goes on counting the store as down after others have heard it. When it gets no
+// confirmations later, it would ask the store too seldom.
+func TestOutageCountsUntilNextRequest(t *testing.T) {
+	o := &outage{}
+	o.run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := o.sidecar.watcher
+		o.store.setSilent(true)
+		for w.outageFailureCount() < outageFailures {
+			time.Sleep(storeTick)
+		}
+		o.heard = true
+		o.hear()
+		is.Equal(w.outageFailureCount(), 0)
+		is.True(w.failing())
+	})
+}
+
 // TestUnresponsivePeersDelayRefresh guards against a sidecar that learns of no change while it waits for unresponsive peers.
 func TestUnresponsivePeersDelayRefresh(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -41,6 +41,8 @@
 	requests int64
 	// fullReads counts the requests that read the full content of the store.
 	fullReads int64
+	// failedRequestAt is when the request was sent that failed last; zero if none did.
+	failedRequestAt time.Time
 	// failingSince is when the store began to fail; zero while it responds.
 	failingSince time.Time
 	// cancel ends the request in progress.
@@ -87,7 +89,7 @@
 		if !full && !reader && !resync && !w.awaitTrigger(ctx) {
 			continue
 		}
-		before := w.position()
+		before, requestedAt := w.position(), w.now()
 		// After a failure the watch doesn't wait either: its response shows that the store is back.
 		err := w.fetch(ctx, full, allPages, reader && !resync && !w.failing())
 		if ctx.Err() != nil {
@@ -110,7 +112,7 @@
 			rereads++
 			continue
 		case err != nil:
-			w.backOff(ctx, err)
+			w.backOff(ctx, err, requestedAt)
 			// A confirmation by peers since then replaces the full read.
 			full = full && w.confirmation.age() > staleAge
 			continue
@@ -238,16 +240,21 @@
 	return !w.failingSince.IsZero()
 }
 
-// failureCount returns the number of consecutive failures of the store.
-func (w *watcher) failureCount() int {
+// outageFailureCount returns the number of consecutive failures of the store, or zero if it is known to have responded since: the outage has ended then,
+// though this sidecar has had no reason to send a request.
+func (w *watcher) outageFailureCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.confirmation.confirmedAfter(w.failedRequestAt) {
+		return 0
+	}
 	return w.failures
 }
 
-// backOff records a failure and waits, for a longer time after each consecutive failure.
-func (w *watcher) backOff(ctx context.Context, err error) {
+// backOff records the failure of a request that was sent at a time and waits, for a longer time after each consecutive failure.
+func (w *watcher) backOff(ctx context.Context, err error, requestedAt time.Time) {
 	w.mu.Lock()
+	w.failedRequestAt = requestedAt
 	if w.failingSince.IsZero() {
 		w.failingSince = w.now()
 		w.log.Warn("store lost", zap.Error(err))
