An update names when the store was in its era

What callers saw: nothing. The field RespondedAt promised that the store held the content of an update at a time. For a watch that waits that isn't so: the content is later than the request. Only the beginning of an era used it.

Change: the field is EraSeenAt, and only an update of another sidecar has it, from that sidecar's confirmation.

Evidence: TestLateNoticeOfRestore, unchanged but for the name, passes.

Why it works: a sidecar is confirmed only in the era that its replica is in.

--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -38,7 +38,7 @@
 	published atomic.Pointer[jaypitch.Position]
 	// restored is true once an update was of a later era than the replica. Positions of unknown era can't be compared then.
 	restored atomic.Bool
-	// restoredAt is when the store had come back from a copy, as far as is known, at the latest restore; zero before the first one.
+	// restoredAt is the first time at which the store is known to have been in the replica's era; zero before the first restore.
 	restoredAt time.Time
 }
 
@@ -173,8 +173,8 @@
 	s.position = jaypitch.Position{Era: u.Era}
 	s.restored.Store(true)
 	s.restoredAt = now
-	if !u.RespondedAt.IsZero() {
-		s.restoredAt = u.RespondedAt
+	if !u.EraSeenAt.IsZero() {
+		s.restoredAt = u.EraSeenAt
 	}
 	s.removalsKnownAfter = 0
 	s.beginEvacuationEra(now)
--- a/mesh/replica_test.go
+++ b/mesh/replica_test.go
@@ -306,15 +306,15 @@
 	return replicaRestoredAt(t, time.Time{})
 }
 
-// replicaRestoredAt is restoredReplica with a time at which the store is known to have held the copy.
-func replicaRestoredAt(t *testing.T, respondedAt time.Time) *Replica {
+// replicaRestoredAt is restoredReplica with a time at which the store is known to have been in era 2.
+func replicaRestoredAt(t *testing.T, eraSeenAt time.Time) *Replica {
 	t.Helper()
 	s := NewReplica()
 	s.Merge(jaypitch.MeshUpdate{Revision: 50, Era: era(1), Full: true, Config: config(3, "/a/"),
 		Servers: []*schema.MeshServer{reported("1", 1, 10, false), reported("2", 1, 20, false), reported("3", 1, 30, false)}}, now)
 	s.Merge(jaypitch.MeshUpdate{Revision: 100, Era: era(1), Config: config(4, "/b/"),
 		Servers: []*schema.MeshServer{reported("2", 5, 70, true), tombstone("3", 80), reported("4", 1, 90, false)}}, now)
-	c := s.Merge(jaypitch.MeshUpdate{Revision: 50, Era: era(2), Full: true, RespondedAt: respondedAt, Config: config(3, "/a/"),
+	c := s.Merge(jaypitch.MeshUpdate{Revision: 50, Era: era(2), Full: true, EraSeenAt: eraSeenAt, Config: config(3, "/a/"),
 		Servers: []*schema.MeshServer{reported("1", 1, 10, false), reported("2", 1, 20, false), reported("3", 1, 30, false)}}, now)
 	if !c.Restored || s.Position() != (jaypitch.Position{Era: era(2), Revision: 50}) {
 		t.Fatalf("position %v after a restore", s.Position())
@@ -385,7 +385,7 @@
 		s := NewReplica()
 		s.Merge(full(1, 90, evacuate(80)), now)
 		u := full(2, 50)
-		u.RespondedAt = now.Add(-evacuationHold + time.Second)
+		u.EraSeenAt = now.Add(-evacuationHold + time.Second)
 		s.Merge(u, now)
 		is.True(s.Table().Evacuated("z"))
 		s.Expire(now.Add(time.Second))
--- a/sidecar/peer_poller.go
+++ b/sidecar/peer_poller.go
@@ -220,7 +220,7 @@
 	confirmed := m.GetSourceAgeUs() < unknownAge.Microseconds()
 	// An earlier time is that of a confirmation before the changes: the peer hasn't yet recorded the response of the store that brought them.
 	if confirmed && c.confirmation.recordPeerResponse(confirmedAt) {
-		u.RespondedAt = confirmedAt
+		u.EraSeenAt = confirmedAt
 	}
 	c.merge(u, address)
 	if confirmed {
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -214,7 +214,6 @@
 	}
 	w.recordSuccess()
 	w.confirmation.recordResponse(requestedAt, confirmedAt)
-	u.RespondedAt = requestedAt
 	w.merge(u, fromStore)
 	if full && !u.Full {
 		return errFirstPage
--- a/update.go
+++ b/update.go
@@ -22,9 +22,9 @@
 	Evacuations []*schema.MeshEvacuation
 	// KeepMissingUntil is the time until which servers that were removed without draining first stay in use; zero if they don't.
 	KeepMissingUntil time.Time
-	// RespondedAt is a time at which the store is known to have held the content; zero if none is known. If the update begins an era, what is kept
-	// after a restore is kept for a time from then on.
-	RespondedAt time.Time
+	// EraSeenAt is a time at which the store is known to have been in the era; zero if none is known. What is kept for a time after a restore is kept
+	// from then on.
+	EraSeenAt time.Time
 }
 
 var (
