A time without a response of the store is an outage only if a request failed

What callers would have seen: a server removed while no sidecar watches the store, as when all three that do are lost at once, may stay in use for 2 s after others hear of it. Found when the diff was read, before any run showed it: the change to outages counted any 2 s without a known response as one.

Cause: no response is known also if nobody asked, or nobody who did could tell.

Change: the time counts as an outage if a request of this sidecar to the store failed in it, or was lost in it and failed later.

Evidence: TestOutage has these cases; "no request failed" failed before it.

Why it works: while the store is down every sidecar without confirmations asks it, so each has a failure of its own, as before the change to outages.

--- a/sidecar/confirmation.go
+++ b/sidecar/confirmation.go
@@ -15,8 +15,13 @@
 	at time.Time
 	// respondedAt is the latest time at which the store is known to have responded, to this sidecar or to another one; zero if it never did.
 	respondedAt time.Time
-	// regainedAt is the first such time after the latest long outage; zero if there was none.
-	regainedAt time.Time
+	// lostAt and regainedAt are the times of the last response before the latest long time without one, and of the first after it; zero if there was
+	// none.
+	lostAt, regainedAt time.Time
+	// failedAt is when a request of this sidecar to the store failed last.
+	failedAt time.Time
+	// outage is true if a request of this sidecar failed in the time from lostAt to regainedAt.
+	outage bool
 }
 
 const (
@@ -64,13 +69,25 @@
 // extendResponses records that the store was there from one time until another. The caller holds the lock.
 func (c *confirmation) extendResponses(from, until time.Time) {
 	if !c.respondedAt.IsZero() && from.Sub(c.respondedAt) > longOutage {
-		c.regainedAt = from
+		c.lostAt, c.regainedAt = c.respondedAt, from
+		c.outage = c.failedAt.After(c.lostAt)
 	}
 	if until.After(c.respondedAt) {
 		c.respondedAt = until
 	}
 }
 
+// recordFailure records that a request to the store, sent at a time, has failed. It tells an outage from a time in which no sidecar had a reason to send
+// a request, or none that did could tell this one.
+func (c *confirmation) recordFailure(requestedAt, failedAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failedAt = failedAt
+	if requestedAt.Before(c.regainedAt) && failedAt.After(c.lostAt) {
+		c.outage = true
+	}
+}
+
 // skipPause records that this process resumed from a pause. The time without a response before is no outage of the store.
 func (c *confirmation) skipPause(resumedAt time.Time) {
 	c.mu.Lock()
@@ -85,7 +102,7 @@
 func (c *confirmation) relistedBy() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.regainedAt.IsZero() {
+	if !c.outage {
 		return time.Time{}
 	}
 	return c.regainedAt.Add(relistTime)
--- a/sidecar/outage_test.go
+++ b/sidecar/outage_test.go
@@ -273,17 +273,43 @@
 	}
 }
 
-// TestPauseIsNoOutage guards against removed servers that stay in use after a pause of the process, as if the store had been down.
-func TestPauseIsNoOutage(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(1000, 0)
-	c := &confirmation{now: func() time.Time { return now }}
-	c.confirm(now)
-	now = now.Add(10 * time.Second)
-	c.skipPause(now)
-	c.confirm(now.Add(time.Millisecond))
-	is.True(c.relistedBy().IsZero())
-	regained := now.Add(longOutage + 2*time.Millisecond)
-	c.confirm(regained)
-	is.Equal(c.relistedBy(), regained.Add(relistTime))
+// TestOutage guards against removed servers that stay in use after a time without a response of the store that was no outage.
+func TestOutage(t *testing.T) {
+	const longer = longOutage + time.Millisecond
+	start := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		play func(c *confirmation)
+		want time.Time
+	}{
+		"a request failed meanwhile": {func(c *confirmation) {
+			c.recordFailure(start.Add(time.Second), start.Add(2*time.Second))
+			c.confirm(start.Add(longer))
+		}, start.Add(longer + relistTime)},
+		"a request that was lost meanwhile failed later": {func(c *confirmation) {
+			c.confirm(start.Add(longer))
+			c.recordFailure(start.Add(-time.Second), start.Add(longer+time.Second))
+		}, start.Add(longer + relistTime)},
+		"no request failed": {func(c *confirmation) {
+			c.recordFailure(start.Add(-2*time.Second), start.Add(-time.Second))
+			c.confirm(start.Add(longer))
+			c.recordFailure(start.Add(longer+time.Second), start.Add(longer+2*time.Second))
+		}, time.Time{}},
+		"another sidecar got responses": {func(c *confirmation) {
+			c.recordFailure(start, start.Add(time.Second))
+			c.confirm(start.Add(longOutage))
+			c.confirm(start.Add(2 * longOutage))
+		}, time.Time{}},
+		"the process was paused": {func(c *confirmation) {
+			c.skipPause(start.Add(time.Minute))
+			c.recordFailure(start, start.Add(time.Minute))
+			c.confirm(start.Add(time.Minute + time.Second))
+		}, time.Time{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := &confirmation{now: func() time.Time { return start }}
+			state.confirm(start)
+			c.play(state)
+			is.New(t).Equal(state.relistedBy(), c.want)
+		})
+	}
 }
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -252,6 +252,7 @@
 
 // backOff records the failure of a request that was sent at a time and waits, for a longer time after each consecutive failure.
 func (w *watcher) backOff(ctx context.Context, err error, requestedAt time.Time) {
+	w.confirmation.recordFailure(requestedAt, w.now())
 	w.mu.Lock()
 	w.failedRequestAt = requestedAt
 	if w.failingSince.IsZero() {
