Test that sidecars agree on servers that expired in an outage

The change to outages made a sidecar keep such a server also if it learns of the removal from another one; no test covered that path. Evidence: with the time set for the store's own updates alone, as before that change, the case after an outage fails; the case without one passes with both.

--- a/sidecar/outage_test.go
+++ b/sidecar/outage_test.go
@@ -4,7 +4,11 @@
 	"context"
 	"errors"
 	"maps"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +18,8 @@
 	"go.uber.org/zap"
 
 	"github.com/jaypitch/jaypitch"
+	"github.com/jaypitch/jaypitch/mesh"
+	"github.com/jaypitch/jaypitch/meshpeer"
 	"github.com/jaypitch/jaypitch/platform"
 	"github.com/jaypitch/jaypitch/schema"
 	"github.com/jaypitch/jaypitch/settings"
@@ -146,19 +152,27 @@
 	return s.changes(after), ctx.Err()
 }
 
+// newOutageSidecar returns a sidecar that has a store and doesn't run.
+func newOutageSidecar(t *testing.T, store jaypitch.MeshSource) *Sidecar {
+	t.Helper()
+	is := is.New(t)
+	text := "[sidecar]\nhost = a\ndata_centre = z\nservice = x\nbackend = 10.0.0.1:80\n[listen]\ncallers = 127.0.0.1:1\npeers = 127.0.0.1:2\nready = 127.0.0.1:3\nmetrics = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:5\n"
+	s, problems := settings.ParseSidecar("test", []byte(text))
+	is.Equal(len(problems), 0)
+	source := func(string, func() time.Time, func(*jaypitch.Error)) jaypitch.MeshSource { return store }
+	c, err := New(s, func() (*schema.SidecarSettings, error) { return nil, nil }, Platform{HeaderNames: platform.HeaderNames, NewSource: source, DecodeNotice: platform.DecodeNotice},
+		zap.NewNop(), func() int64 { return 0 })
+	is.NoErr(err)
+	return c
+}
+
 // run plays a test in virtual time, with a sidecar that watches the store.
 func (o *outage) run(t *testing.T, play func(t *testing.T)) {
 	synctest.Test(t, func(t *testing.T) {
 		o.store = &silentStore{revision: 10, servers: map[string]*schema.MeshServer{}}
 		o.store.list("1")
 		o.store.list("2")
-		text := "[sidecar]\nhost = a\ndata_centre = z\nservice = x\nbackend = 10.0.0.1:80\n[listen]\ncallers = 127.0.0.1:1\npeers = 127.0.0.1:2\nready = 127.0.0.1:3\nmetrics = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:5\n"
-		s, problems := settings.ParseSidecar("test", []byte(text))
-		is.New(t).Equal(len(problems), 0)
-		source := func(string, func() time.Time, func(*jaypitch.Error)) jaypitch.MeshSource { return o.store }
-		c, err := New(s, func() (*schema.SidecarSettings, error) { return nil, nil }, Platform{HeaderNames: platform.HeaderNames, NewSource: source, DecodeNotice: platform.DecodeNotice},
-			zap.NewNop(), func() int64 { return 0 })
-		is.New(t).NoErr(err)
+		c := newOutageSidecar(t, o.store)
 		o.sidecar = c
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -273,6 +287,40 @@
 	}
 }
 
+// TestPeersDifferOnMissingServers guards against sidecars that take a server out of use which expired in an outage, since they learn of that from another
+// sidecar, while the other one keeps it.
+func TestPeersDifferOnMissingServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		failed bool
+		want   int
+	}{"after an outage": {true, 2}, "without an outage": {false, 1}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			store := &silentStore{revision: 10, servers: map[string]*schema.MeshServer{}}
+			store.list("1")
+			store.list("2")
+			s, peer := newOutageSidecar(t, store), mesh.NewReplica()
+			s.merge(store.changes(0), fromStore)
+			s.confirmation.confirm(now.Add(-time.Minute))
+			if c.failed {
+				s.confirmation.recordFailure(now.Add(-30*time.Second), now.Add(-20*time.Second))
+			}
+			store.remove("2")
+			peer.Merge(store.changes(0), now)
+			mux := http.NewServeMux()
+			mux.Handle(meshpeer.NewHandler(peer, func() time.Duration { return 0 }, nil, nil, func(string, jaypitch.Position) {}))
+			h := httptest.NewServer(mux)
+			defer h.Close()
+			s.peerPoller.client = meshpeer.NewClient(netip.MustParseAddr("127.0.0.1"))
+			s.peerPoller.poll(context.Background(), strings.TrimPrefix(h.URL, "http://"))
+			is.Equal(s.replica.Revision(), peer.Revision())
+			is.Equal(len(s.replica.Table().Servers), c.want)
+			is.Equal(s.replica.NextExpiry().IsZero(), !c.failed)
+		})
+	}
+}
+
 // TestOutage guards against removed servers that stay in use after a time without a response of the store that was no outage.
 func TestOutage(t *testing.T) {
 	const longer = longOutage + time.Millisecond
