Move the silent store of tests to the stand-ins

The stand-in of a store that becomes silent, for tests in virtual time, stood in the test of outages. The tests are unchanged.

--- a/sidecar/outage_test.go
+++ b/sidecar/outage_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,22 +21,12 @@
 	"github.com/jaypitch/jaypitch/platform"
 	"github.com/jaypitch/jaypitch/schema"
 	"github.com/jaypitch/jaypitch/settings"
+	"github.com/jaypitch/jaypitch/standin"
 )
 
-// silentStore is a store that responds to nothing while it is silent, nor to a request that was in progress then.
-type silentStore struct {
-	mu       sync.Mutex
-	revision int64
-	servers  map[string]*schema.MeshServer
-	silent   bool
-	silences int
-	// waiting is the number of watches that wait and will be responded to.
-	waiting int
-}
-
-// outage is a sidecar with a silentStore. Servers live and removed are listed before the store becomes silent.
+// outage is a sidecar with a store that can be silent. Servers live and removed are listed before the store becomes silent.
 type outage struct {
-	store   *silentStore
+	store   *standin.SilentSource
 	sidecar *Sidecar
 	// heard is true if another sidecar tells that the store has confirmed the replica.
 	heard bool
@@ -50,108 +38,9 @@
 	silentTimeout = time.Second
 	// drainTime is how long after its removal a server may get requests.
 	drainTime = 2 * time.Second
-	storeTick = time.Millisecond
+	pollTime  = time.Millisecond
 )
 
-var errSilent = errors.New("the store is silent")
-
-func (s *silentStore) put(v *schema.MeshServer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	v.Revision = s.revision
-	s.servers[v.GetId()] = v
-}
-
-// list writes the entry of a server; remove replaces it by a tombstone.
-func (s *silentStore) list(id string) {
-	s.put(&schema.MeshServer{Id: id, Service: "x", Address: "10.0.0." + id + ":80", DataCentre: "z", Slots: 1})
-}
-
-func (s *silentStore) remove(id string) {
-	s.put(&schema.MeshServer{Id: id, Gone: true})
-}
-
-func (s *silentStore) setSilent(silent bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silent = silent
-	if silent {
-		s.silences++
-	}
-}
-
-func (s *silentStore) watches() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.waiting
-}
-
-// count adds to the number of waiting watches.
-func (s *silentStore) count(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.waiting += n
-}
-
-// accept reports whether the store isn't silent, and how often it was.
-func (s *silentStore) accept() (bool, int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.silent, s.silences
-}
-
-// changes returns the entries after a revision.
-func (s *silentStore) changes(after int64) jaypitch.MeshUpdate {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	u := jaypitch.MeshUpdate{Revision: s.revision}
-	for _, v := range s.servers {
-		if v.GetRevision() > after {
-			u.Servers = append(u.Servers, v)
-		}
-	}
-	return u
-}
-
-// Read implements jaypitch.MeshSource.
-func (s *silentStore) Read(ctx context.Context, _ func(jaypitch.MeshUpdate) bool) (jaypitch.MeshUpdate, error) {
-	if open, _ := s.accept(); !open {
-		_ = jaypitch.Sleep(ctx, silentTimeout)
-		return jaypitch.MeshUpdate{}, errSilent
-	}
-	u := s.changes(0)
-	u.Full = true
-	return u, nil
-}
-
-// Watch implements jaypitch.MeshSource.
-func (s *silentStore) Watch(ctx context.Context, after int64, deadline time.Time) (jaypitch.MeshUpdate, error) {
-	open, silences := s.accept()
-	if open {
-		s.count(1)
-	}
-	lost := !open
-	for ctx.Err() == nil && time.Now().Before(deadline) {
-		u := s.changes(after)
-		if now, n := s.accept(); !lost && (!now || n != silences) {
-			lost = true
-			s.count(-1)
-		}
-		if !lost && len(u.Servers) > 0 {
-			s.count(-1)
-			return u, nil
-		}
-		_ = jaypitch.Sleep(ctx, storeTick)
-	}
-	if lost {
-		_ = jaypitch.Sleep(ctx, silentTimeout)
-		return jaypitch.MeshUpdate{}, errSilent
-	}
-	s.count(-1)
-	return s.changes(after), ctx.Err()
-}
-
 // newOutageSidecar returns a sidecar that has a store and doesn't run.
 func newOutageSidecar(t *testing.T, store jaypitch.MeshSource) *Sidecar {
 	t.Helper()
@@ -169,9 +58,9 @@
 // run plays a test in virtual time, with a sidecar that watches the store.
 func (o *outage) run(t *testing.T, play func(t *testing.T)) {
 	synctest.Test(t, func(t *testing.T) {
-		o.store = &silentStore{revision: 10, servers: map[string]*schema.MeshServer{}}
-		o.store.list("1")
-		o.store.list("2")
+		o.store = standin.NewSilentSource(silentTimeout)
+		o.store.List("1")
+		o.store.List("2")
 		c := newOutageSidecar(t, o.store)
 		o.sidecar = c
 		ctx, cancel := context.WithCancel(context.Background())
@@ -189,16 +78,16 @@
 // silence makes the store silent for a time, which begins while a watch waits.
 func (o *outage) silence(d time.Duration) {
 	o.awaitWatch()
-	o.store.setSilent(true)
+	o.store.SetSilent(true)
 	time.Sleep(d)
-	o.store.setSilent(false)
+	o.store.SetSilent(false)
 }
 
 // awaitWatch waits until the store has a watch of the sidecar that it will respond to.
 func (o *outage) awaitWatch() {
-	for o.store.watches() == 0 {
+	for o.store.Waiting() == 0 {
 		o.hear()
-		time.Sleep(storeTick)
+		time.Sleep(pollTime)
 	}
 	time.Sleep(10 * time.Millisecond)
 }
@@ -230,7 +119,7 @@
 					o.hear()
 				}
 				o.awaitWatch()
-				o.store.remove("2")
+				o.store.Remove("2")
 				if heard {
 					time.Sleep(10 * time.Millisecond)
 					o.assertInUse(t, "1")
@@ -252,7 +141,7 @@
 			o.run(t, func(t *testing.T) {
 				o.silence(d)
 				time.Sleep(stableTime)
-				o.store.remove("2")
+				o.store.Remove("2")
 				time.Sleep(drainTime)
 				o.assertInUse(t, "1")
 			})
@@ -268,18 +157,18 @@
 			o := &outage{}
 			o.run(t, func(t *testing.T) {
 				o.awaitWatch()
-				o.store.setSilent(true)
+				o.store.SetSilent(true)
 				time.Sleep(d - time.Second)
-				o.store.remove("2")
+				o.store.Remove("2")
 				time.Sleep(time.Second)
-				o.store.setSilent(false)
-				for o.sidecar.replica.Revision() < o.store.changes(0).Revision {
+				o.store.SetSilent(false)
+				for o.sidecar.replica.Revision() < o.store.Changes(0).Revision {
 					o.assertInUse(t, "1", "2")
-					time.Sleep(storeTick)
+					time.Sleep(pollTime)
 				}
 				time.Sleep(time.Second)
 				o.assertInUse(t, "1", "2")
-				o.store.list("2")
+				o.store.List("2")
 				time.Sleep(3 * time.Second)
 				o.assertInUse(t, "1", "2")
 			})
@@ -297,17 +186,17 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Now()
-			store := &silentStore{revision: 10, servers: map[string]*schema.MeshServer{}}
-			store.list("1")
-			store.list("2")
+			store := standin.NewSilentSource(silentTimeout)
+			store.List("1")
+			store.List("2")
 			s, peer := newOutageSidecar(t, store), mesh.NewReplica()
-			s.merge(store.changes(0), fromStore)
+			s.merge(store.Changes(0), fromStore)
 			s.confirmation.confirm(now.Add(-time.Minute))
 			if c.failed {
 				s.confirmation.recordFailure(now.Add(-30*time.Second), now.Add(-20*time.Second))
 			}
-			store.remove("2")
-			peer.Merge(store.changes(0), now)
+			store.Remove("2")
+			peer.Merge(store.Changes(0), now)
 			mux := http.NewServeMux()
 			mux.Handle(meshpeer.NewHandler(peer, func() time.Duration { return 0 }, nil, nil, func(string, jaypitch.Position) {}))
 			h := httptest.NewServer(mux)
--- a/sidecar/peer_poller_test.go
+++ b/sidecar/peer_poller_test.go
@@ -29,9 +29,9 @@
 	o.run(t, func(t *testing.T) {
 		is := is.New(t)
 		w := o.sidecar.watcher
-		o.store.setSilent(true)
+		o.store.SetSilent(true)
 		for w.outageFailureCount() < outageFailures {
-			time.Sleep(storeTick)
+			time.Sleep(pollTime)
 		}
 		o.heard = true
 		o.hear()
