--- a/sidecar/outage_test.go
+++ b/sidecar/outage_test.go
@@ -24,7 +24,7 @@
 	"github.com/jaypitch/jaypitch/standin"
 )
 
-// outage is a sidecar with a store that can be silent. Servers live and removed are listed before the store becomes silent.
+// outage is a sidecar with a store that can be silent. The store lists servers 1, beside the sidecar, and 2.
 type outage struct {
 	store   *standin.SilentSource
 	sidecar *Sidecar
