Tests of a mesh choose ports that no outgoing connection has

What was seen: TestEntryOfAnotherWriterAtAnAddress, repeated many times on a loaded machine, failed 3 times with "condition did not hold within a minute: all sidecars are ready and list every server". In a copy that prints more, each time a sidecar had ended: "bind: address already in use".

Cause: the ports were free on 127.0.0.1 when they were chosen, but came from the range of outgoing connections, and sidecars connect from the hosts' addresses, also those of a test before for 2 s after its end.

Change: ports are below that range and differ from each other. No check changes.

--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -65,7 +66,9 @@
 	t.Cleanup(h.Close)
 	m.storeAddress = strings.TrimPrefix(h.URL, "http://")
 	for i := range m.ports {
-		m.ports[i] = freePort(t)
+		for m.ports[i] == 0 || slices.Contains(m.ports[:i], m.ports[i]) {
+			m.ports[i] = freePort(t)
+		}
 	}
 	m.configure(1, "x", "/one/")
 	for i := range hosts {
@@ -88,14 +91,20 @@
 	return m
 }
 
+// freePort returns a port below those of outgoing connections: sidecars of the test before may still have some, from the addresses of the same hosts.
 func freePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const lowest, highest = 20000, 32000
+	for range 100 {
+		port := lowest + rand.N(highest-lowest)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			_ = l.Close()
+			return port
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	t.Fatal("no port is free")
+	return 0
 }
 
 // configure stores a configuration with one rule for each prefix.
